Serve a request end to end with separate processes

The thin whole path: platform stand-in, a daemon beside each upstream, callers and a link between regions. Documents are read by computed readers, pushed down a computed tree and repaired by digests; calls are routed by the entry daemon and admitted only by the daemon beside the upstream.

--- /dev/null
+++ b/daemon/settings.cc
@@ -0,0 +1,168 @@
+#include "daemon/settings.h"
+
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/property_tree/ini_parser.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace parsleyyard {
+
+namespace {
+
+// What is wrong with a value; empty if nothing.
+using complaint = std::string;
+
+complaint SetNumber(const setting& known,
+                    const std::string& text,
+                    std::uint64_t& number) {
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  const bool whole = error == std::errc() && end == text.data() + text.size();
+  if (whole && number >= known.min && number <= known.max) {
+    return "";
+  }
+  const std::string unit =
+      known.kind == setting_kind::kMs ? " milliseconds, without a unit" : "";
+  return "must be a whole number from " + std::to_string(known.min) + " to " +
+         std::to_string(known.max) + unit;
+}
+
+complaint CheckAddress(const std::string& text) {
+  boost::system::error_code error;
+  boost::asio::ip::make_address_v4(text, error);
+  return error ? "must be an IPv4 address such as 127.1.1.1" : "";
+}
+
+complaint CheckText(const setting& known, const std::string& text) {
+  if (known.kind == setting_kind::kAddress) {
+    return CheckAddress(text);
+  }
+  if (known.one_of.empty() ||
+      std::find(known.one_of.begin(), known.one_of.end(), text) !=
+          known.one_of.end()) {
+    return "";
+  }
+  std::string allowed;
+  for (const std::string& value : known.one_of) {
+    allowed += (allowed.empty() ? "" : ", ") + value;
+  }
+  return "must be one of " + allowed;
+}
+
+complaint SetList(const std::string& text, std::vector<std::string>& list) {
+  list.clear();
+  std::vector<std::string> items;
+  boost::split(items, text, boost::is_any_of(","));
+  for (std::string& item : items) {
+    boost::trim(item);
+    if (item.empty()) {
+      continue;
+    }
+    if (complaint problem = CheckAddress(item); !problem.empty()) {
+      return "item " + item + " " + problem;
+    }
+    list.push_back(std::move(item));
+  }
+  return "";
+}
+
+complaint SetValue(const setting& known,
+                   const std::string& text,
+                   daemon_settings& settings) {
+  const setting_target target = known.target(settings);
+  if (auto* const* list = std::get_if<std::vector<std::string>*>(&target)) {
+    return SetList(text, **list);
+  }
+  if (auto* const* value = std::get_if<std::string*>(&target)) {
+    **value = text;
+    return CheckText(known, text);
+  }
+  std::uint64_t number = 0;
+  complaint problem = SetNumber(known, text, number);
+  if (auto* const* port = std::get_if<std::uint16_t*>(&target)) {
+    **port = static_cast<std::uint16_t>(number);
+  } else if (auto* const* count = std::get_if<std::uint32_t*>(&target)) {
+    **count = static_cast<std::uint32_t>(number);
+  } else {
+    *std::get<std::chrono::milliseconds*>(target) =
+        std::chrono::milliseconds(number);
+  }
+  return problem;
+}
+
+const setting* FindSetting(const std::string& section, const std::string& key) {
+  const auto& all = AllSettings();
+  const auto found = std::find_if(
+      all.begin(), all.end(),
+      [&](const setting& s) { return s.section == section && s.key == key; });
+  return found == all.end() ? nullptr : &*found;
+}
+
+leaf::result<void> CheckWhole(const std::string& file,
+                              const daemon_settings& settings) {
+  const auto& prefix = settings.fleet.other_region_prefix;
+  const bool usable = prefix.empty() || CheckAddress(prefix + ".0.0").empty();
+  if (!usable) {
+    return leaf::new_error(settings_error{
+        file, "fleet", "other_region_prefix",
+        "\"" + prefix + "\" must be empty or two octets such as 127.201"});
+  }
+  if (settings.fleet.isolation_lease <= settings.fleet.digest_interval) {
+    return leaf::new_error(
+        settings_error{file, "fleet", "isolation_lease",
+                       "must be longer than digest_interval, or no peer is "
+                       "ever heard in time"});
+  }
+  return {};
+}
+
+}  // namespace
+
+std::string settings_error::Line() const {
+  std::string line = file;
+  line += section.empty() ? "" : ", [" + section + "]";
+  line += key.empty() ? "" : " " + key;
+  return line + ": " + message;
+}
+
+leaf::result<daemon_settings> LoadSettings(const std::string& file) {
+  namespace pt = boost::property_tree;
+  pt::ptree tree;
+  try {
+    pt::read_ini(file, tree);
+  } catch (const pt::ini_parser_error& error) {
+    const std::string line =
+        error.line() ? "line " + std::to_string(error.line()) + ": " : "";
+    return leaf::new_error(
+        settings_error{file, "", "", line + error.message()});
+  }
+  daemon_settings settings;
+  for (const auto& [section, keys] : tree) {
+    if (keys.empty() && !keys.data().empty()) {
+      return leaf::new_error(
+          settings_error{file, "", section, "stands outside a section"});
+    }
+    for (const auto& [key, value] : keys) {
+      const setting* known = FindSetting(section, key);
+      if (known == nullptr) {
+        return leaf::new_error(
+            settings_error{file, section, key,
+                           "is not a known setting; see etc/parsleyyardd.ini"});
+      }
+      const std::string text = value.data();
+      if (complaint problem = SetValue(*known, text, settings);
+          !problem.empty()) {
+        return leaf::new_error(
+            settings_error{file, section, key, "\"" + text + "\" " + problem});
+      }
+    }
+  }
+  BOOST_LEAF_CHECK(CheckWhole(file, settings));
+  return settings;
+}
+
+}  // namespace parsleyyard
--- /dev/null
+++ b/net/net.h
@@ -0,0 +1,236 @@
+// parsleyyard: sockets. Everything here runs on Boost.Asio and Boost.Beast.
+//
+// Index
+//   1. Clock and randomness   the process's own, for decide/
+//   2. Peer mesh              streams and datagrams between daemons
+//   3. HTTP server            for callers and operators
+//   4. HTTP client            for the upstream and the platform
+//
+// How to use it: make one io_context with a few threads, then the parts you
+// need. Listener functions are called on the threads of the io_context, for
+// one connection never at the same time, and without any lock of this library
+// held. No exception leaves this library.
+
+#ifndef PARSLEYYARD_NET_NET_H_
+#define PARSLEYYARD_NET_NET_H_
+
+#include "decide/decide.h"
+#include "wire/wire.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace parsleyyard {
+
+namespace asio = boost::asio;
+
+// ---------------------------------------------------------------------------
+// 1. Clock and randomness
+// ---------------------------------------------------------------------------
+
+// CLOCK_MONOTONIC.
+class monotonic_clock : public clock_source {
+ public:
+  instant Now() const override;
+};
+
+// Mersenne Twister. Give a seed to get the same draws again.
+class seeded_random : public random_source {
+ public:
+  explicit seeded_random(std::uint64_t seed);
+  ~seeded_random() override;
+  std::uint64_t Next() override;
+
+ private:
+  struct engine;
+  std::unique_ptr<engine> engine_;
+};
+
+// A seed from the operating system.
+std::uint64_t SystemSeed();
+
+// ---------------------------------------------------------------------------
+// 2. Peer mesh
+// ---------------------------------------------------------------------------
+
+struct mesh_options {
+  host_address address;           // own; bound for TCP and UDP
+  std::uint16_t port = 8081;      // the same on every host
+  std::uint64_t incarnation = 1;  // told in the hello of each stream
+  std::size_t max_queued_bytes =
+      64u << 20;  // per stream; beyond, the stream is closed
+  duration idle_timeout =
+      std::chrono::seconds(60);  // a stream without traffic is closed
+  duration connect_timeout =
+      std::chrono::seconds(2);  // from the first SYN to the peer's hello
+  std::function<host_address(const host_address&)>
+      resolve;  // address to connect to for a peer; empty: its own
+};
+
+// Hears what arrives. `from` is the peer's own address as its hello says.
+class mesh_listener {
+ public:
+  virtual ~mesh_listener() = default;
+  virtual void OnMessage(const host_address& from, any_message message) = 0;
+  virtual void OnLinkUp(const host_address& peer,
+                        std::uint64_t incarnation) = 0;
+  virtual void OnLinkDown(const host_address& peer) = 0;
+  virtual void OnUndelivered(const host_address& to,
+                             const any_message& message) = 0;
+};
+
+struct mesh_counters {
+  std::atomic<std::uint64_t> control_bytes_sent{
+      0};  // digests, updates and requests
+  std::atomic<std::uint64_t> control_bytes_received{0};
+  std::atomic<std::uint64_t> bad_frames{
+      0};  // refused: damaged, too long, other version
+};
+
+// How an outgoing message is treated.
+enum class send_mode : std::uint8_t {
+  kIfUp,    // dropped unless our stream to the peer is up
+  kOpen,    // opens the stream if needed and waits for it
+  kUrgent,  // as kOpen, ahead of what waits
+  kReply,  // on the stream that the peer opened to us; dropped if there is none
+};
+
+class mesh_internals;
+
+// One outgoing stream for each peer, opened on demand, and one UDP socket.
+class peer_mesh {
+ public:
+  peer_mesh(asio::io_context& context,
+            mesh_options options,
+            mesh_listener& listener);
+  ~peer_mesh();
+
+  // Binds and listens. The error says which address and port could not be had.
+  leaf::result<void> Listen();
+  void Open(const host_address& peer);
+  std::optional<std::uint64_t> PeerIncarnation(const host_address& peer) const;
+  void Send(const host_address& peer,
+            const any_message& message,
+            send_mode mode);
+  void SendDatagram(const host_address& peer, const digest& message);
+  void Close();
+  const mesh_counters& counters() const;
+
+ private:
+  std::shared_ptr<mesh_internals> internals_;
+};
+
+// ---------------------------------------------------------------------------
+// 3. HTTP server
+// ---------------------------------------------------------------------------
+
+struct http_request {
+  std::string method;
+  std::string target;                // path and query
+  std::vector<call_header> headers;  // in order, names as sent
+  std::string body;
+  const std::string* Find(
+      std::string_view name) const;  // case-insensitive; null if absent
+};
+
+struct http_response {
+  std::uint16_t status = 200;
+  std::vector<call_header> headers;
+  std::string body;
+  bool close = false;  // close the connection after it
+};
+
+// Calls back once with the answer to one request.
+using http_reply = std::function<void(http_response)>;
+
+class http_handler {
+ public:
+  virtual ~http_handler() = default;
+  // Decides on the head before the body is read. A response ends the request
+  // and closes the connection; nothing of the body is read.
+  virtual std::optional<http_response> OnHead(const http_request& head) = 0;
+  // Answers the whole request by calling `reply` once, from any thread.
+  // Returns a function to call if the caller goes away before that.
+  virtual std::function<void()> OnRequest(http_request request,
+                                          http_reply reply) = 0;
+};
+
+struct http_server_options {
+  host_address address;
+  std::uint16_t port = 0;
+  std::size_t max_head = 16384;         // bytes; 431 beyond
+  std::size_t max_headers = 100;        // fields; 431 beyond
+  std::size_t max_body = 1 << 20;       // bytes; 413 beyond
+  std::size_t max_connections = 11000;  // 503 beyond
+  duration idle_timeout =
+      std::chrono::seconds(30);  // without progress; 408 in mid-request
+};
+
+class http_server_internals;
+
+class http_server {
+ public:
+  http_server(asio::io_context& context,
+              http_server_options options,
+              http_handler& handler);
+  ~http_server();
+  leaf::result<void> Listen();
+  void StopAccepting();  // closes the listener; connections end after their
+                         // current answer
+  std::size_t connections() const;
+
+ private:
+  std::shared_ptr<http_server_internals> internals_;
+};
+
+// Error of this layer: an address that could not be used.
+struct net_error {
+  std::string what;
+};
+
+// ---------------------------------------------------------------------------
+// 4. HTTP client
+// ---------------------------------------------------------------------------
+
+struct http_client_options {
+  host_address address;
+  std::uint16_t port = 0;
+  std::size_t max_body = 1 << 20;  // of an answer
+  std::size_t max_idle = 32;       // connections kept
+  duration idle_timeout =
+      std::chrono::seconds(5);  // an older idle connection is not used again
+};
+
+struct http_exchange {
+  bool sent = false;      // any byte of the request may have been read
+  bool complete = false;  // the whole response arrived
+  http_response response;
+};
+
+class http_client_internals;
+
+// Keep-alive connections to one server.
+class http_client {
+ public:
+  http_client(asio::io_context& context, http_client_options options);
+  ~http_client();
+
+  // Ends in one call of `done`, at the latest after `timeout`. The returned
+  // function aborts the exchange; `done` is called all the same.
+  std::function<void()> Request(http_request request,
+                                duration timeout,
+                                std::function<void(http_exchange)> done);
+
+ private:
+  std::shared_ptr<http_client_internals> internals_;
+};
+
+}  // namespace parsleyyard
+
+#endif  // PARSLEYYARD_NET_NET_H_
--- /dev/null
+++ b/net/peer_mesh.cc
@@ -0,0 +1,369 @@
+#include "net/stream_link.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <map>
+#include <mutex>
+#include <unordered_map>
+
+namespace parsleyyard {
+
+namespace {
+
+using udp = asio::ip::udp;
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kMaxDatagram = 2048;
+
+bool IsControl(const any_message& message) {
+  return std::holds_alternative<document_update>(message) ||
+         std::holds_alternative<document_request>(message) ||
+         std::holds_alternative<digest>(message);
+}
+
+}  // namespace
+
+class mesh_internals : public stream_listener,
+                       public std::enable_shared_from_this<mesh_internals> {
+ public:
+  mesh_internals(asio::io_context& context,
+                 mesh_options options,
+                 mesh_listener& listener)
+      : context_(context),
+        options_(std::move(options)),
+        listener_(listener),
+        acceptor_(asio::make_strand(context)),
+        datagrams_(asio::make_strand(context)) {}
+
+  leaf::result<void> Listen();
+  void Open(const host_address& peer);
+  std::optional<std::uint64_t> PeerIncarnation(const host_address& peer) const;
+  void Send(const host_address& peer,
+            const any_message& message,
+            send_mode mode);
+  void SendDatagram(const host_address& peer, const digest& message);
+  void Close();
+
+  void OnHello(const std::shared_ptr<stream_link>& link,
+               const link_hello& hello) override;
+  void OnFrame(const std::shared_ptr<stream_link>& link,
+               any_message message) override;
+  void OnBadFrame() override { ++counters_.bad_frames; }
+  void OnClosed(const std::shared_ptr<stream_link>& link) override;
+
+  mesh_counters counters_;
+
+ private:
+  struct outgoing_link {
+    std::shared_ptr<stream_link> link;
+    std::optional<std::uint64_t> incarnation;  // set once the peer's hello came
+    std::vector<std::pair<any_message, bool>> waiting;  // message, urgent
+  };
+
+  asio::awaitable<void> Accept();
+  asio::awaitable<void> ReadDatagrams();
+  std::shared_ptr<stream_link> Dial(const host_address& peer);
+  asio::ip::address_v4 Resolve(const host_address& peer) const;
+  void Count(const any_message& message, std::size_t bytes);
+
+  asio::io_context& context_;
+  mesh_options options_;
+  mesh_listener& listener_;
+  tcp::acceptor acceptor_;
+  udp::socket datagrams_;
+  mutable std::mutex mutex_;  // guards the maps below; last in the lock order
+  std::unordered_map<host_address, outgoing_link> outgoing_;
+  std::unordered_map<host_address, std::shared_ptr<stream_link>> incoming_;
+  bool closed_ = false;
+};
+
+leaf::result<void> mesh_internals::Listen() {
+  const auto address = asio::ip::make_address_v4(options_.address);
+  boost::system::error_code error;
+  const tcp::endpoint endpoint(address, options_.port);
+  acceptor_.open(tcp::v4(), error);
+  acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  acceptor_.bind(endpoint, error);
+  if (!error) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (!error) {
+    datagrams_.open(udp::v4(), error);
+    datagrams_.bind(udp::endpoint(address, options_.port), error);
+  }
+  if (error) {
+    return leaf::new_error(net_error{"can't listen on " + options_.address +
+                                     ":" + std::to_string(options_.port) +
+                                     ": " + error.message()});
+  }
+  auto self = shared_from_this();
+  asio::co_spawn(
+      acceptor_.get_executor(),
+      [self]() -> asio::awaitable<void> { co_await self->Accept(); },
+      asio::detached);
+  asio::co_spawn(
+      datagrams_.get_executor(),
+      [self]() -> asio::awaitable<void> { co_await self->ReadDatagrams(); },
+      asio::detached);
+  return {};
+}
+
+asio::awaitable<void> mesh_internals::Accept() {
+  while (acceptor_.is_open()) {
+    auto [error, socket] =
+        co_await acceptor_.async_accept(asio::make_strand(context_), kTuple);
+    if (error) {
+      continue;
+    }
+    const auto link =
+        std::make_shared<stream_link>(std::move(socket), options_, *this);
+    link->Start(std::nullopt);
+  }
+}
+
+asio::awaitable<void> mesh_internals::ReadDatagrams() {
+  std::string buffer(kMaxDatagram, '\0');
+  udp::endpoint sender;
+  while (datagrams_.is_open()) {
+    auto [error, size] = co_await datagrams_.async_receive_from(
+        asio::buffer(buffer), sender, kTuple);
+    if (error) {
+      continue;
+    }
+    counters_.control_bytes_received += size;
+    const std::string_view frame(buffer.data(), size);
+    const bool good = leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+          BOOST_LEAF_AUTO(message, Decode(frame));
+          const auto* found = std::get_if<digest>(&message);
+          if (found != nullptr) {
+            const host_address from = found->from;
+            listener_.OnMessage(from, std::move(message));
+          }
+          return found != nullptr;
+        },
+        [] { return false; });
+    counters_.bad_frames += good ? 0 : 1;
+  }
+}
+
+asio::ip::address_v4 mesh_internals::Resolve(const host_address& peer) const {
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address_v4(
+      options_.resolve ? options_.resolve(peer) : peer, error);
+  return error ? asio::ip::address_v4::loopback() : address;
+}
+
+// Makes the outgoing stream to a peer. The caller holds the mutex.
+std::shared_ptr<stream_link> mesh_internals::Dial(const host_address& peer) {
+  const auto executor = asio::make_strand(context_);
+  tcp::socket socket(executor);
+  boost::system::error_code error;
+  socket.open(tcp::v4(), error);
+  socket.bind(tcp::endpoint(asio::ip::make_address_v4(options_.address), 0),
+              error);
+  auto link = std::make_shared<stream_link>(std::move(socket), options_, *this);
+  link->outgoing = true;
+  link->peer = peer;
+  const tcp::endpoint target(Resolve(peer), options_.port);
+  asio::post(executor, [link, target] { link->Start(target); });
+  return link;
+}
+
+void mesh_internals::Open(const host_address& peer) {
+  const std::lock_guard lock(mutex_);
+  outgoing_link& known = outgoing_[peer];
+  if (known.link == nullptr && !closed_) {
+    known.link = Dial(peer);
+    return;
+  }
+  if (known.incarnation) {
+    asio::post(context_, [self = shared_from_this(), peer,
+                          incarnation = *known.incarnation] {
+      self->listener_.OnLinkUp(peer, incarnation);
+    });
+  }
+}
+
+std::optional<std::uint64_t> mesh_internals::PeerIncarnation(
+    const host_address& peer) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = outgoing_.find(peer);
+  return found == outgoing_.end() ? std::nullopt : found->second.incarnation;
+}
+
+void mesh_internals::Count(const any_message& message, std::size_t bytes) {
+  if (IsControl(message)) {
+    counters_.control_bytes_sent += bytes;
+  }
+}
+
+void mesh_internals::Send(const host_address& peer,
+                          const any_message& message,
+                          send_mode mode) {
+  const std::lock_guard lock(mutex_);
+  if (mode == send_mode::kReply) {
+    const auto found = incoming_.find(peer);
+    if (found != incoming_.end()) {
+      found->second->Send(std::make_shared<const std::string>(Encode(message)),
+                          false);
+    }
+    return;
+  }
+  const auto found = outgoing_.find(peer);
+  const bool up = found != outgoing_.end() && found->second.incarnation;
+  const bool urgent = mode == send_mode::kUrgent;
+  if (up) {
+    const auto frame = std::make_shared<const std::string>(Encode(message));
+    Count(message, frame->size());
+    found->second.link->Send(frame, urgent);
+    return;
+  }
+  if (mode == send_mode::kIfUp || closed_) {
+    return;
+  }
+  outgoing_link& opening = outgoing_[peer];
+  if (opening.link == nullptr) {
+    opening.link = Dial(peer);
+  }
+  opening.waiting.emplace_back(message, urgent);
+}
+
+void mesh_internals::SendDatagram(const host_address& peer,
+                                  const digest& message) {
+  const auto frame = std::make_shared<const std::string>(Encode(message));
+  counters_.control_bytes_sent += frame->size();
+  const udp::endpoint target(Resolve(peer), options_.port);
+  asio::post(
+      datagrams_.get_executor(), [self = shared_from_this(), frame, target] {
+        boost::system::error_code ignored;
+        self->datagrams_.send_to(asio::buffer(*frame), target, 0, ignored);
+      });
+}
+
+void mesh_internals::OnHello(const std::shared_ptr<stream_link>& link,
+                             const link_hello& hello) {
+  std::shared_ptr<stream_link> replaced;
+  std::vector<std::pair<any_message, bool>> waiting;
+  {
+    const std::lock_guard lock(mutex_);
+    if (link->outgoing) {
+      outgoing_link& known = outgoing_[link->peer];
+      if (known.link != link || hello.from != link->peer) {
+        replaced = link;
+      } else {
+        known.incarnation = hello.incarnation;
+        waiting.swap(known.waiting);
+      }
+    } else {
+      link->peer = hello.from;
+      replaced = std::exchange(incoming_[hello.from], link);
+    }
+  }
+  // A peer that connects again has given up its earlier stream: nothing that
+  // is still unread there may count.
+  if (replaced != nullptr) {
+    replaced->Close();
+  }
+  for (const auto& [message, urgent] : waiting) {
+    Send(link->peer, message, urgent ? send_mode::kUrgent : send_mode::kOpen);
+  }
+  if (link->outgoing && replaced == nullptr) {
+    listener_.OnLinkUp(link->peer, hello.incarnation);
+  }
+}
+
+void mesh_internals::OnFrame(const std::shared_ptr<stream_link>& link,
+                             any_message message) {
+  if (const auto* update = std::get_if<document_update>(&message)) {
+    for (const part_payload& payload : update->payloads) {
+      counters_.control_bytes_received += payload.bytes.size();
+    }
+  }
+  listener_.OnMessage(link->peer, std::move(message));
+}
+
+void mesh_internals::OnClosed(const std::shared_ptr<stream_link>& link) {
+  std::vector<std::pair<any_message, bool>> waiting;
+  {
+    const std::lock_guard lock(mutex_);
+    if (!link->outgoing) {
+      const auto found = incoming_.find(link->peer);
+      if (found != incoming_.end() && found->second == link) {
+        incoming_.erase(found);
+      }
+      return;
+    }
+    const auto found = outgoing_.find(link->peer);
+    if (found == outgoing_.end() || found->second.link != link) {
+      return;
+    }
+    waiting.swap(found->second.waiting);
+    outgoing_.erase(found);
+  }
+  listener_.OnLinkDown(link->peer);
+  for (const auto& [message, urgent] : waiting) {
+    listener_.OnUndelivered(link->peer, message);
+  }
+}
+
+void mesh_internals::Close() {
+  std::vector<std::shared_ptr<stream_link>> links;
+  {
+    const std::lock_guard lock(mutex_);
+    closed_ = true;
+    for (const auto& [peer, known] : outgoing_) {
+      links.push_back(known.link);
+    }
+    for (const auto& [peer, link] : incoming_) {
+      links.push_back(link);
+    }
+  }
+  for (const auto& link : links) {
+    if (link != nullptr) {
+      link->Close();
+    }
+  }
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  datagrams_.close(ignored);
+}
+
+peer_mesh::peer_mesh(asio::io_context& context,
+                     mesh_options options,
+                     mesh_listener& listener)
+    : internals_(std::make_shared<mesh_internals>(context,
+                                                  std::move(options),
+                                                  listener)) {}
+peer_mesh::~peer_mesh() = default;
+leaf::result<void> peer_mesh::Listen() {
+  return internals_->Listen();
+}
+void peer_mesh::Open(const host_address& peer) {
+  internals_->Open(peer);
+}
+std::optional<std::uint64_t> peer_mesh::PeerIncarnation(
+    const host_address& peer) const {
+  return internals_->PeerIncarnation(peer);
+}
+void peer_mesh::Send(const host_address& peer,
+                     const any_message& message,
+                     send_mode mode) {
+  internals_->Send(peer, message, mode);
+}
+void peer_mesh::SendDatagram(const host_address& peer, const digest& message) {
+  internals_->SendDatagram(peer, message);
+}
+void peer_mesh::Close() {
+  internals_->Close();
+}
+const mesh_counters& peer_mesh::counters() const {
+  return internals_->counters_;
+}
+
+}  // namespace parsleyyard
--- /dev/null
+++ b/scripts/fleet.py
@@ -0,0 +1,259 @@
+"""Starts and stops a fleet of daemons and stand-ins on loopback addresses."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import time
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PLATFORM = "127.1.0.1:7000"
+LINK_ADMIN = "127.201.0.1:7001"
+
+FAROLITO = {
+    "name": "farolito",
+    "regions": {"montevideo": ["mvd-a", "mvd-b"], "litoral": ["ltr-a", "ltr-b"]},
+    "source_region": "montevideo",
+    "services": {"vitrina": 5, "agenda": 4, "pedidos": 4},
+    "slots": 12, "connections": 120, "service_ms": 5, "delay_ms": 12,
+    "routes": [
+        {"name": "catalogue", "prefix": "/vitrina/", "service": "vitrina", "class": "browse"},
+        {"name": "slots", "prefix": "/agenda/", "service": "agenda", "class": "booking", "repeat": "never"},
+        {"name": "orders", "prefix": "/pedidos/", "service": "pedidos", "class": "order", "repeat": "never"},
+        {"name": "board", "prefix": "/litoral/agenda/", "service": "agenda", "class": "booking", "repeat": "never",
+         "home_regions": ["litoral"]},
+    ],
+    "workspaces": [{"name": "canelones", "home_regions": ["montevideo"]}, {"name": "salto"}],
+    "mix": ["7:browse:0:-:GET:/vitrina/", "2:booking:1:-:POST:/agenda/", "1:order:1:-:POST:/pedidos/",
+            "0.5:booking:1:litoral:POST:/litoral/agenda/"],
+}
+
+PONOVNA = {
+    "name": "ponovna",
+    "regions": {"osrednja": ["ljubljana-a", "kranj-b"], "stajerska": ["maribor-a", "celje-b"]},
+    "source_region": "osrednja",
+    "services": {"katalog": 6, "prevzemi": 4, "blagajna": 4},
+    "slots": 6, "connections": 130, "service_ms": 5, "delay_ms": 12,
+    "routes": [
+        {"name": "catalogue", "prefix": "/katalog/", "service": "katalog", "class": "browse", "repeat": "idempotent"},
+        {"name": "pickups", "prefix": "/prevzemi/", "service": "prevzemi", "class": "booking", "repeat": "never"},
+        {"name": "sales", "prefix": "/blagajna/", "service": "blagajna", "class": "order", "repeat": "never"},
+        {"name": "vouchers", "prefix": "/stajerska/blagajna/", "service": "blagajna", "class": "order",
+         "repeat": "never", "home_regions": ["stajerska"]},
+    ],
+    "workspaces": [{"name": "ljubljana", "home_regions": ["osrednja"]}],
+    "mix": ["7:browse:0:-:GET:/katalog/", "2:booking:1:-:POST:/prevzemi/", "1:order:1:-:POST:/blagajna/",
+            "0.5:order:1:stajerska:POST:/stajerska/blagajna/"],
+}
+
+PROFILES = {"farolito": FAROLITO, "ponovna": PONOVNA}
+
+
+def fetch(url, body=None, timeout=5):
+    data = json.dumps(body).encode() if body is not None else None
+    with urllib.request.urlopen(urllib.request.Request("http://" + url, data=data), timeout=timeout) as answer:
+        return answer.read().decode()
+
+
+class Host:
+    def __init__(self, address, domain, region, service, instance):
+        self.address, self.domain, self.region = address, domain, region
+        self.service, self.instance = service, instance
+
+
+def place_hosts(profile):
+    """Spreads the instances of each service over the failure domains."""
+    domains = [(d, r) for r, ds in profile["regions"].items() for d in ds]
+    hosts, used = [], {}
+    for index, (service, count) in enumerate(profile["services"].items()):
+        for i in range(count):
+            slot = (i + index) % len(domains)
+            domain, region = domains[slot]
+            used[slot] = used.get(slot, 0) + 1
+            address = f"127.1.{slot + 1}.{used[slot]}"
+            hosts.append(Host(address, domain, region, service, f"{service}-{i + 1}"))
+    return hosts
+
+
+def manifest_parts(profile, hosts, cold_ms=0, note=""):
+    """The manifest, one part for regions, routes and workspaces and one for each service."""
+    base = {"regions": [{"name": r, "failure_domains": ds} for r, ds in profile["regions"].items()],
+            "routes": profile["routes"], "workspaces": profile["workspaces"] + ([{"name": note}] if note else [])}
+    parts = {"base": base}
+    for service in profile["services"]:
+        instances = [{"id": h.instance, "host": h.address, "failure_domain": h.domain}
+                     for h in hosts if h.service == service]
+        parts["service-" + service] = {"services": [{
+            "name": service, "slots": profile["slots"], "connections": profile["connections"],
+            "warm_up_ms": cold_ms, "instances": instances}]}
+    return parts
+
+
+def host_parts(hosts, leaving=()):
+    parts = {}
+    for h in hosts:
+        entry = {"host": h.address, "failure_domain": h.domain, "region": h.region,
+                 "state": "leaving" if h.address in leaving else "live"}
+        parts.setdefault(h.domain, {"hosts": []})["hosts"].append(entry)
+    return parts
+
+
+class Fleet:
+    def __init__(self, profile, out, build="build", region_link=True, cold_ms=0, settings=None, hosts=None,
+                 upstreams=True):
+        self.profile, self.build = profile, ROOT / build
+        self.out = pathlib.Path(out)
+        self.region_link, self.cold_ms, self.upstreams = region_link, cold_ms, upstreams
+        self.settings = settings or {}
+        self.hosts = hosts or place_hosts(profile)
+        self.processes, self.declared = {}, []
+        self.out.mkdir(parents=True, exist_ok=True)
+        for old in self.out.glob("*"):
+            if old.is_file():
+                old.unlink()
+
+    def spawn(self, name, *command):
+        log = open(self.out / (name + ".log"), "ab")
+        self.processes[name] = subprocess.Popen([str(c) for c in command], stdout=log, stderr=log)
+
+    def write_settings(self, host):
+        seeds = ",".join(h.address for h in self.hosts if h.region == host.region)
+        values = {"host": {"address": host.address, "failure_domain": host.domain, "region": host.region},
+                  "platform": {"address": PLATFORM.split(":")[0], "region": self.profile["source_region"]},
+                  "fleet": {"seeds": ",".join(seeds.split(",")[:6]), "expected_hosts": len(self.hosts),
+                            "other_region_prefix": "127.201" if self.region_link else ""}}
+        for section, keys in self.settings.items():
+            values.setdefault(section, {}).update(keys)
+        path = self.out / (host.address + ".ini")
+        lines = []
+        for section, keys in values.items():
+            lines += [f"[{section}]"] + [f"{k} = {v}" for k, v in keys.items()]
+        path.write_text("\n".join(lines) + "\n")
+        return path
+
+    def start_daemon(self, host):
+        self.spawn("daemon-" + host.address, self.build / "parsleyyardd", "--config", self.write_settings(host))
+
+    def start_upstream(self, host):
+        self.spawn("upstream-" + host.address, self.build / "standin_upstream", "--address", host.address,
+                   "--instance", host.instance, "--failure-domain", host.domain,
+                   "--log", self.out / (host.instance + ".exec"), "--slots", self.profile["slots"],
+                   "--service-ms", self.profile["service_ms"], "--cold-ms", self.cold_ms)
+
+    def start(self):
+        self.spawn("platform", self.build / "standin_platform")
+        if self.region_link:
+            names = [f"{h.address}={h.region}" for h in self.hosts]
+            self.spawn("region_link", self.build / "standin_region_link", "--delay-ms", self.profile["delay_ms"],
+                       "--hosts", *names)
+        self.wait_for(PLATFORM + "/admin/stats")
+        self.commit()
+        fetch(PLATFORM + "/admin/hosts", host_parts(self.hosts))
+        for host in self.hosts:
+            if self.upstreams:
+                self.start_upstream(host)
+            self.start_daemon(host)
+
+    def commit(self, note="", parts=None):
+        parts = parts or manifest_parts(self.profile, self.hosts, self.cold_ms, note)
+        return int(fetch(PLATFORM + "/admin/manifest", parts, timeout=30))
+
+    def declare(self, **what):
+        (way, name), = what.items()
+        way = way.rstrip("_")
+        fetch(f"{PLATFORM}/admin/declare?{way}={name}")
+        self.declared.append((int(time.time() * 1000), way, name))
+
+    def fault(self, mode):
+        fetch(f"{PLATFORM}/admin/fault?mode={mode}")
+
+    def cut_link(self, what):
+        fetch(f"{LINK_ADMIN}/?cut={what}")
+
+    def link_bytes(self):
+        return json.loads(fetch(LINK_ADMIN + "/"))
+
+    def status(self, host, timeout=2):
+        try:
+            return json.loads(fetch(f"{host.address}:8082/status", timeout=timeout))
+        except OSError:
+            return None
+
+    def wait_for(self, url, seconds=10):
+        end = time.time() + seconds
+        while time.time() < end:
+            try:
+                return fetch(url, timeout=1)
+            except OSError:
+                time.sleep(0.05)
+        raise RuntimeError("no answer from " + url)
+
+    def wait_ready(self, seconds=30, hosts=None, version=0):
+        """Waits until all daemons admit work with at least `version`; returns the seconds taken."""
+        begin = time.time()
+        missing = list(hosts or self.hosts)
+        while missing and time.time() < begin + seconds:
+            missing = [h for h in missing if not self.is_ready(h, version)]
+            time.sleep(0.02 if missing else 0)
+        if missing:
+            raise RuntimeError(f"not ready: {[h.address for h in missing]}")
+        return time.time() - begin
+
+    def is_ready(self, host, version):
+        status = self.status(host)
+        return bool(status and status["admits"] and status["documents"]["manifest"]["revision"] >= version)
+
+    def signal(self, name, number):
+        self.processes[name].send_signal(number)
+
+    def kill(self, name):
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def terminate(self, name, seconds=40):
+        """Orderly stop; returns the exit status."""
+        process = self.processes.pop(name)
+        process.terminate()
+        return process.wait(seconds)
+
+    def callers(self, name, rate, seconds, seed, mix=None, hosts=None, **options):
+        extra = [str(x) for k, v in options.items() for x in ("--" + k.replace("_", "-"), v)]
+        self.spawn("callers-" + name, self.build / "standin_callers", "--daemons",
+                   *[h.address for h in (hosts or self.hosts)], "--mix", *(mix or self.profile["mix"]),
+                   "--log", self.out / (name + ".calls"), "--rate", rate, "--seconds", seconds, "--seed", seed, *extra)
+
+    def join_callers(self, name, seconds=120):
+        return self.processes.pop("callers-" + name).wait(seconds)
+
+    def stop(self):
+        for process in self.processes.values():
+            try:
+                process.send_signal(signal.SIGCONT)
+            except ProcessLookupError:
+                pass
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.processes = {}
+
+    def __enter__(self):
+        self.start()
+        return self
+
+    def __exit__(self, *unused):
+        self.stop()
+
+
+def resident_kb(pid):
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1])
+    return 0
+
+
+def cpu_seconds(pid):
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
--- /dev/null
+++ b/wire/bounded.h
@@ -0,0 +1,100 @@
+// Bounds that a decoder checks before it allocates. Internal to wire/.
+
+#ifndef PARSLEYYARD_WIRE_BOUNDED_H_
+#define PARSLEYYARD_WIRE_BOUNDED_H_
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/cereal.hpp>
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace parsleyyard {
+
+// Thrown inside wire/ alone; Decode() turns it into a wire_error.
+class bound_exceeded : public std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+inline std::uint32_t CheckedSize(std::uint32_t size, std::uint32_t limit) {
+  if (size > limit) {
+    throw bound_exceeded("length " + std::to_string(size) + " exceeds " +
+                         std::to_string(limit));
+  }
+  return size;
+}
+
+// A string of at most `limit` bytes.
+struct bounded_string {
+  std::string& value;
+  std::uint32_t limit;
+
+  template <class Archive>
+  void save(Archive& archive) const {
+    archive(CheckedSize(static_cast<std::uint32_t>(value.size()), limit));
+    archive(cereal::binary_data(value.data(), value.size()));
+  }
+  template <class Archive>
+  void load(Archive& archive) {
+    std::uint32_t size = 0;
+    archive(size);
+    value.resize(CheckedSize(size, limit));
+    archive(cereal::binary_data(value.data(), value.size()));
+  }
+};
+
+// A list of at most `limit` items; grows only as items arrive.
+template <class Item>
+struct bounded_list {
+  std::vector<Item>& value;
+  std::uint32_t limit;
+
+  template <class Archive>
+  void save(Archive& archive) const {
+    archive(CheckedSize(static_cast<std::uint32_t>(value.size()), limit));
+    for (Item& item : value) {
+      archive(item);
+    }
+  }
+  template <class Archive>
+  void load(Archive& archive) {
+    std::uint32_t size = 0;
+    archive(size);
+    CheckedSize(size, limit);
+    value.clear();
+    for (std::uint32_t i = 0; i < size; ++i) {
+      archive(value.emplace_back());
+    }
+  }
+};
+
+template <class Item>
+bounded_list(std::vector<Item>&, int) -> bounded_list<Item>;
+
+// An enumerator below `count`.
+template <class Enum>
+struct checked_enum {
+  Enum& value;
+  std::uint32_t count;
+
+  template <class Archive>
+  void save(Archive& archive) const {
+    archive(static_cast<std::uint8_t>(value));
+  }
+  template <class Archive>
+  void load(Archive& archive) {
+    std::uint8_t number = 0;
+    archive(number);
+    CheckedSize(number, count - 1);
+    value = static_cast<Enum>(number);
+  }
+};
+
+template <class Enum>
+checked_enum(Enum&, int) -> checked_enum<Enum>;
+
+}  // namespace parsleyyard
+
+#endif  // PARSLEYYARD_WIRE_BOUNDED_H_
