--- a/daemon/upstream_runner.cc
+++ b/daemon/upstream_runner.cc
@@ -32,6 +32,7 @@
   http_response& response = exchange.response;
   upstream_result result{.sent = exchange.sent,
                          .complete = exchange.complete,
+                         .reset = exchange.reset,
                          .shed = ValueOf(response, kShedHeader) == "not-run",
                          .status = response.status,
                          .instance_id = ValueOf(response, kInstanceHeader),
@@ -49,6 +50,13 @@
   probed_ = std::move(probed);
 }
 
+// The connection of the load endpoint is in steady use, so that only the end of
+// the upstream's process closes it while it is idle.
+http_client_options upstream_runner::WithWatch(http_client_options options) {
+  options.on_idle_closed = [this] { probed_({.sent = true, .reset = true}); };
+  return options;
+}
+
 void upstream_runner::Run(const call_id& id,
                           std::shared_ptr<const call_request> message,
                           duration time_left) {
--- a/daemon/upstream_runner.h
+++ b/daemon/upstream_runner.h
@@ -18,7 +18,7 @@
   using probe_function = std::function<void(upstream_result)>;
 
   upstream_runner(asio::io_context& context, http_client_options options)
-      : client_(context, options), probe_client_(context, options) {}
+      : client_(context, options), probe_client_(context, WithWatch(options)) {}
 
   // Must be set before the first Run(). Called on a thread of the io_context.
   void Connect(done_function done, probe_function probed);
@@ -29,6 +29,7 @@
   void Probe();  // asks the load endpoint; one question at a time
 
  private:
+  http_client_options WithWatch(http_client_options options);
   using key = std::pair<std::uint64_t, std::uint64_t>;
 
   http_client client_;
--- a/decide/call_target.cc
+++ b/decide/call_target.cc
@@ -349,7 +349,7 @@
     return;
   }
   const bool back = life_.state() == upstream_state::kGone && result.complete;
-  if (another || back) {
+  if (another || back || result.reset) {
     upstream_id_ =
         result.instance_id.empty() ? upstream_id_ : result.instance_id;
     limit_.BeginRamp(now);
--- a/decide/control_plane.cc
+++ b/decide/control_plane.cc
@@ -297,7 +297,8 @@
   if (life_.state() != daemon_state::kCatchingUp) {
     return;
   }
-  const bool complete = view_ != nullptr && view_->manifest_in_force != nullptr;
+  const bool complete = view_->manifest_in_force != nullptr &&
+                        view_->hosts != nullptr && view_->out != nullptr;
   const bool newest = std::all_of(
       documents_.begin(), documents_.end(),
       [](const auto& d) { return d.head.revision >= d.known_newest; });
--- a/decide/decide.h
+++ b/decide/decide.h
@@ -46,6 +46,8 @@
 // Monotonic time since an arbitrary origin of the process.
 using instant = std::chrono::microseconds;
 using duration = std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 // IPv4 address in dotted form; names a host and its daemon.
 using host_address = std::string;
@@ -114,7 +116,7 @@
   std::string service;
   call_class priority = call_class::kBrowse;
   repeat_rule repeat = repeat_rule::kByMethod;
-  duration deadline = std::chrono::seconds(2);
+  duration deadline = seconds(2);
   std::vector<std::string> home_regions;  // empty: any region
 };
 
@@ -325,13 +327,13 @@
   unsigned fan_out = 4;        // children in the tree
   unsigned startup_peers = 2;  // peers to hear before serving
   unsigned expected_hosts =
-      35000;                 // paces reads while the host list is unknown
-  unsigned read_rate = 400;  // reads a second of a fleet without a reader
-  duration watch = std::chrono::seconds(1);  // longest wait of one watch
-  duration digest_interval = std::chrono::milliseconds(500);
-  duration startup_timeout = std::chrono::seconds(8);
-  duration pause_threshold = std::chrono::seconds(1);
-  duration isolation_lease = std::chrono::seconds(3);
+      35000;                    // paces reads while the host list is unknown
+  unsigned read_rate = 400;     // reads a second of a fleet without a reader
+  duration watch = seconds(1);  // longest wait of one watch
+  duration digest_interval = milliseconds(500);
+  duration startup_timeout = seconds(8);
+  duration pause_threshold = seconds(1);
+  duration isolation_lease = seconds(3);
   bool deltas = true;                     // false: whole parts, for comparison
   bool push = true;                       // false: digests only, for comparison
   std::shared_ptr<document_cache> cache;  // empty: one of its own
@@ -488,9 +490,8 @@
   unsigned subset = 24;         // instances of a service sent to
   unsigned retry_percent = 20;  // of recent calls
   unsigned spill_percent = 80;  // utilisation that lets calls leave the tier
-  duration load_validity =
-      std::chrono::seconds(1);  // age at which a load report is ignored
-  duration reconnect_delay = std::chrono::milliseconds(50);
+  duration load_validity = seconds(1);  // age at which a load report is ignored
+  duration reconnect_delay = milliseconds(50);
   bool attach = true;  // false: plain resend, for comparison
 };
 
@@ -533,6 +534,7 @@
 struct upstream_result {
   bool sent = false;      // any byte may have reached the upstream
   bool complete = false;  // the whole answer arrived
+  bool reset = false;     // the upstream closed the connection in mid-call
   bool shed = false;      // the upstream said that it did not run the call
   std::uint16_t status = 0;
   std::string
@@ -561,19 +563,18 @@
 };
 
 struct target_options {
-  host_address address;                  // this daemon
-  std::string failure_domain;            // of this host
-  std::string region;                    // of this host
-  std::uint64_t incarnation = 1;         // the only one it accepts calls for
-  unsigned queue = 64;                   // calls that wait
-  unsigned table = 65536;                // call ids remembered
-  std::uint64_t kept_bytes = 32u << 20;  // answers kept for attach
-  duration queue_wait = std::chrono::milliseconds(500);  // longest wait
+  host_address address;                     // this daemon
+  std::string failure_domain;               // of this host
+  std::string region;                       // of this host
+  std::uint64_t incarnation = 1;            // the only one it accepts calls for
+  unsigned queue = 64;                      // calls that wait
+  unsigned table = 65536;                   // call ids remembered
+  std::uint64_t kept_bytes = 32u << 20;     // answers kept for attach
+  duration queue_wait = milliseconds(500);  // longest wait
   duration keep_margin =
-      std::chrono::seconds(5);  // ids are kept this long past the deadline
-  duration domain_ramp =
-      std::chrono::seconds(3);  // ramp after a return to service
-  bool limit = true;            // false: admit all, for comparison
+      seconds(5);  // ids are kept this long past the deadline
+  duration domain_ramp = seconds(3);  // ramp after a return to service
+  bool limit = true;                  // false: admit all, for comparison
 };
 
 class target_internals;
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -27,9 +27,16 @@
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   instant last_used{};
+  std::atomic<bool> idle{false};
 };
 using connection_ptr = std::shared_ptr<connection>;
 
+// True unless this side ended the exchange by a timeout or by aborting it.
+bool IsReset(const beast::error_code& error) {
+  return error != beast::error::timeout &&
+         error != asio::error::operation_aborted;
+}
+
 // True if the server has closed an idle connection or sent something unasked.
 bool IsStale(connection& idle) {
   tcp::socket& socket = idle.stream.socket();
@@ -76,6 +83,7 @@
   asio::awaitable<bool> Connect(connection& used);
   connection_ptr TakeIdle();
   void PutIdle(connection_ptr used);
+  void WatchIdle(const connection_ptr& used);
 
   asio::io_context& context_;
   const http_client_options options_;
@@ -91,14 +99,34 @@
     idle_.pop_back();
     if (clock_.Now() - found->last_used < options_.idle_timeout &&
         !IsStale(*found)) {
+      found->idle = false;
       return found;
     }
   }
   return nullptr;
 }
 
+// Reports at once that the server closed an idle connection, as it does when
+// its process ends. Waiting for the next request to fail would be too late.
+void http_client_internals::WatchIdle(const connection_ptr& used) {
+  if (!options_.on_idle_closed) {
+    return;
+  }
+  used->stream.socket().async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this(),
+       weak = std::weak_ptr(used)](const boost::system::error_code& error) {
+        const connection_ptr alive = weak.lock();
+        if (!error && alive != nullptr && alive->idle && IsStale(*alive)) {
+          self->options_.on_idle_closed();
+        }
+      });
+}
+
 void http_client_internals::PutIdle(connection_ptr used) {
   used->last_used = clock_.Now();
+  used->idle = true;
+  WatchIdle(used);
   const std::lock_guard lock(mutex_);
   if (idle_.size() < options_.max_idle) {
     idle_.push_back(std::move(used));
@@ -133,6 +161,7 @@
   auto [write_error, written] =
       co_await http::async_write(used->stream, message, kTuple);
   if (write_error) {
+    exchange.reset = IsReset(write_error);
     co_return exchange;
   }
   http::response_parser<http::string_body> parser;
@@ -141,6 +170,7 @@
   auto [read_error, size] =
       co_await http::async_read(used->stream, used->buffer, parser, kTuple);
   if (read_error) {
+    exchange.reset = IsReset(read_error);
     co_return exchange;
   }
   exchange.complete = true;
--- a/net/net.h
+++ b/net/net.h
@@ -65,10 +65,9 @@
   std::uint64_t incarnation = 1;  // told in the hello of each stream
   std::size_t max_queued_bytes =
       64u << 20;  // per stream; beyond, the stream is closed
-  duration idle_timeout =
-      std::chrono::seconds(60);  // a stream without traffic is closed
+  duration idle_timeout = seconds(60);  // a stream without traffic is closed
   duration connect_timeout =
-      std::chrono::seconds(2);  // from the first SYN to the peer's hello
+      seconds(2);  // from the first SYN to the peer's hello
   std::function<host_address(const host_address&)>
       resolve;  // address to connect to for a peer; empty: its own
 };
@@ -168,8 +167,7 @@
   std::size_t max_headers = 100;        // fields; 431 beyond
   std::size_t max_body = 1 << 20;       // bytes; 413 beyond
   std::size_t max_connections = 11000;  // 503 beyond
-  duration idle_timeout =
-      std::chrono::seconds(30);  // without progress; 408 in mid-request
+  duration idle_timeout = seconds(30);  // without progress; 408 in mid-request
 };
 
 class http_server_internals;
@@ -201,15 +199,16 @@
 struct http_client_options {
   host_address address;
   std::uint16_t port = 0;
-  std::size_t max_body = 1 << 20;  // of an answer
-  std::size_t max_idle = 32;       // connections kept
-  duration idle_timeout =
-      std::chrono::seconds(5);  // an older idle connection is not used again
+  std::size_t max_body = 1 << 20;        // of an answer
+  std::size_t max_idle = 32;             // connections kept
+  duration idle_timeout = seconds(5);    // older idle connections are dropped
+  std::function<void()> on_idle_closed;  // the server closed an idle one
 };
 
 struct http_exchange {
   bool sent = false;      // any byte of the request may have been read
   bool complete = false;  // the whole response arrived
+  bool reset = false;     // the server closed the connection before that
   http_response response;
 };
 
