Keep what peers hold in mind when a version is rejected

Cause: rejecting the platform's bad version lowered the newest version heard of to the one held, so a restarted daemon served version 1 although a peer had told of version 2. Ruled out: news still on its way at a quick restart (100 seeds of Control.RestartRightAfterACommitNeverGoesBack pass without any change).

--- a/decide/control_documents.cc
+++ b/decide/control_documents.cc
@@ -128,8 +128,10 @@
                                const document_error& error) {
   document.status.rejected = head.revision;
   document.status.rejected_because = error.place + ": " + error.message;
-  document.known_newest =
-      std::min(document.known_newest, document.head.revision);
+  // What peers hold stays known; only this revision is out of the question.
+  if (document.known_newest == head.revision) {
+    document.known_newest = document.head.revision;
+  }
   listener_.OnDecision("Rejected " + Describe(head) + ": " +
                        document.status.rejected_because + ".");
 }
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -105,6 +105,44 @@
   EXPECT_GT(OlderVersionsServed({.remember = false}), 0u);
 }
 
+// The news that a daemon served is still on its way when it starts again.
+TEST(Control, RestartRightAfterACommitNeverGoesBack) {
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    world run({.seed = seed});
+    run.RunFor(seconds(4));
+    run.reorder = true;
+    const std::uint64_t version = run.Commit();
+    for (std::size_t i = 0; i < 2; ++i) {
+      run.RunUntil([&] { return run.served[run.AddressOf(i)] == version; },
+                   seconds(2));
+      run.Kill(i);
+      run.Start(i);
+    }
+    run.RunFor(seconds(4));
+    ASSERT_TRUE(run.violations.empty())
+        << "seed " << seed << ": " << run.violations.front();
+  }
+}
+
+// A history that the property test found. The platform offers only a bad
+// version by the time that a daemon restarts; a good one is known from peers.
+TEST(Control, RejectedVersionDoesNotHideAGoodOneThatPeersHold) {
+  world run({.seed = 347});
+  run.RunFor(seconds(4));
+  run.StartTraffic(milliseconds(5));
+  run.Kill(2);
+  run.Commit();
+  run.RunFor(milliseconds(60));
+  run.CommitBad();
+  run.RunFor(milliseconds(113));
+  run.Kill(0);
+  run.RunFor(milliseconds(176));
+  run.Start(0);
+  run.Start(2);
+  run.RunFor(seconds(8));
+  EXPECT_TRUE(run.violations.empty()) << run.violations.front();
+}
+
 TEST(Control, UpdateThatArrivesTwiceOrLateChangesNothing) {
   world run(Quiet());
   run.RunFor(seconds(4));
--- a/tests/property_test.cc
+++ b/tests/property_test.cc
@@ -31,6 +31,12 @@
   int wait_ms;
 };
 
+// So that a failing history can be read.
+std::ostream& operator<<(std::ostream& out, const step& shown) {
+  return out << "act " << static_cast<int>(shown.what) << " on " << shown.node
+             << ", then " << shown.wait_ms << " ms";
+}
+
 void Apply(world& run, const step& next) {
   const std::string domain = run.DomainOf(next.node);
   switch (next.what) {
