Hear the own region before serving after a start

Cause: two peers in two failure domains were enough to serve, and both could stand in a region that the newest version had not reached (root of the tree dead, or regions just healed). A restarted daemon then served an older version than before. Now a starting daemon listens for a second, as long as news travels, and asks its neighbours in the tree too.

Cost: a start takes 1 s longer.

--- a/decide/control_plane.cc
+++ b/decide/control_plane.cc
@@ -16,6 +16,7 @@
 constexpr duration kCrossRegionStep = std::chrono::seconds(1);
 constexpr std::size_t kCrossRegionRanks = 3;
 constexpr std::size_t kSeedsAsked = 3;
+constexpr duration kNewsTravelTime = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -133,6 +134,11 @@
     if (place->rank > 0) {
       peers.insert((*place->order)[(place->rank - 1) / options_.fan_out]);
     }
+    if (!ready()) {
+      const auto children =
+          topology_->Children(options_.address, options_.fan_out);
+      peers.insert(children.begin(), children.end());
+    }
     AddRandomPeer(peers, *place->order, true);
     AddRandomPeer(peers, *place->order, false);
     AddCrossRegionPeer(peers, place->rank, now);
@@ -290,14 +296,21 @@
   if (was_serving && outside_contact_ && !heard_.empty()) {
     return true;
   }
+  // The first peers heard may stand where the newest version, served here
+  // before the start, has not arrived yet. Neighbours in the tree know it.
+  if (!was_serving && now - started_at_ < kNewsTravelTime) {
+    return false;
+  }
   if (!was_serving && heard_.size() >= peers &&
       heard_domains_.size() >= domains) {
     return true;
   }
   // The platform alone may be stale. Peers that are starting too can't say
   // that they serve, but they tell what they hold.
-  const bool peers_told = answered_.size() >= peers && answered_domains_.size() >= domains;
-  return source_answered_ && peers_told && now - required_since_ >= kSourceOnlyWait;
+  const bool peers_told =
+      answered_.size() >= peers && answered_domains_.size() >= domains;
+  return source_answered_ && peers_told &&
+         now - required_since_ >= kSourceOnlyWait;
 }
 
 void control_internals::UpdateReadiness(instant now) {
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -143,6 +143,27 @@
   EXPECT_TRUE(run.violations.empty()) << run.violations.front();
 }
 
+// The seeds that a restarted daemon asks first all stand in a region that the
+// news has not reached yet. Its own region knows better.
+TEST(Control, RestartAsksItsOwnRegionBeforeItServes) {
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    world run({.seed = seed});
+    run.RunFor(seconds(4));
+    run.CutRegions(true);
+    run.CutSource("r1", true);
+    const std::uint64_t version = run.Commit();
+    run.RunFor(seconds(2));
+    run.CutRegions(false);
+    run.Kill(0);
+    run.CommitBad();
+    run.Start(0);
+    run.RunFor(seconds(4));
+    ASSERT_TRUE(run.violations.empty())
+        << "seed " << seed << ": " << run.violations.front();
+    ASSERT_EQ(run.CountAt(version), run.size());
+  }
+}
+
 TEST(Control, UpdateThatArrivesTwiceOrLateChangesNothing) {
   world run(Quiet());
   run.RunFor(seconds(4));
