--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -115,8 +115,8 @@
                 old.unlink()
 
     def spawn(self, name, *command):
-        log = open(self.out / (name + ".log"), "ab")
-        self.processes[name] = subprocess.Popen([str(c) for c in command], stdout=log, stderr=log)
+        with open(self.out / (name + ".log"), "ab") as log:
+            self.processes[name] = subprocess.Popen([str(c) for c in command], stdout=log, stderr=log)
 
     def write_settings(self, host):
         seeds = ",".join(h.address for h in self.hosts if h.region == host.region)
--- /dev/null
+++ b/tests/burn_test.cc
@@ -0,0 +1,72 @@
+// The burn report from samples with a known answer.
+
+#include "tools/burn.h"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+namespace parsleyyard::tools {
+namespace {
+
+burn_sample At(int second, double good, double total) {
+  burn_sample sample{.at = std::chrono::seconds(second)};
+  sample.counts[{"agenda", "booking", "mvd-a"}] = {.good = good,
+                                                   .total = total};
+  return sample;
+}
+
+const burn_options kOptions{.objectives = {{"agenda", 0.99}},
+                            .short_window = std::chrono::seconds(1),
+                            .long_window = std::chrono::seconds(10)};
+
+TEST(Burn, RateIsTheBadShareOverTheBudget) {
+  const auto rows = ComputeBurn({At(0, 0, 0), At(1, 95, 100)}, kOptions);
+  ASSERT_EQ(rows.size(), 1u);
+  EXPECT_NEAR(rows[0].long_rate, 5, 1e-9);
+  EXPECT_FALSE(rows[0].alert);
+}
+
+TEST(Burn, AlertNeedsBothWindows) {
+  EXPECT_TRUE(
+      ComputeBurn({At(0, 0, 0), At(1, 50, 100), At(2, 100, 200)}, kOptions)[0]
+          .alert);
+  EXPECT_FALSE(
+      ComputeBurn({At(0, 0, 0), At(1, 50, 100), At(2, 150, 200)}, kOptions)[0]
+          .alert);
+}
+
+TEST(Burn, RestartedDaemonDoesNotCountBackwards) {
+  const auto rows =
+      ComputeBurn({At(0, 1000, 1000), At(1, 10, 10), At(2, 20, 20)}, kOptions);
+  EXPECT_EQ(rows[0].bad, 0);
+  EXPECT_EQ(rows[0].total, 10);
+}
+
+TEST(Burn, PageIsReadAndUnreachableDaemonsAreNamed) {
+  burn_sample sample;
+  AddPage(
+      "parsleyyard_calls_total{service=\"agenda\",class=\"booking\",outcome="
+      "\"answer\",reason=\"none\"} 7\n"
+      "parsleyyard_calls_total{service=\"agenda\",class=\"booking\",outcome="
+      "\"not_run\",reason=\"overloaded\"} 2\n"
+      "parsleyyard_calls_total{service=\"\",class=\"browse\",outcome=\"not_"
+      "run\",reason=\"no_route\"} 5\n"
+      "parsleyyard_info{address=\"h\",failure_domain=\"mvd-a\",region=\"r\"} "
+      "1\n",
+      sample);
+  ASSERT_EQ(sample.counts.size(), 1u);
+  EXPECT_EQ((sample.counts.at({"agenda", "booking", "mvd-a"}).total), 9);
+  sample.unreachable.push_back("127.1.1.9");
+  std::stringstream saved;
+  WriteSamples({sample}, saved);
+  const auto read = ReadSamples(saved);
+  ASSERT_EQ(read.size(), 1u);
+  EXPECT_NE(TextReport(ComputeBurn(read, kOptions), read).find("127.1.1.9"),
+            std::string::npos);
+  EXPECT_NE(HtmlReport(ComputeBurn(read, kOptions), read).find("127.1.1.9"),
+            std::string::npos);
+}
+
+}  // namespace
+}  // namespace parsleyyard::tools
--- /dev/null
+++ b/tests/net_test.cc
@@ -0,0 +1,340 @@
+// Sockets under hostile and unlucky peers, on loopback.
+
+#include "net/net.h"
+#include "daemon/headers.h"
+#include "net/socket_peek.h"
+
+#include <gtest/gtest.h>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <future>
+#include <random>
+#include <thread>
+
+namespace parsleyyard {
+namespace {
+
+using tcp = asio::ip::tcp;
+constexpr std::uint16_t kHttpPort = 18480;
+constexpr std::uint16_t kMeshPort = 18481;
+constexpr const char* kHost = "127.9.0.1";
+
+// An io_context with two threads, as in the daemon.
+class workers {
+ public:
+  workers() : guard_(asio::make_work_guard(context)) {
+    for (int i = 0; i < 2; ++i) {
+      threads_.emplace_back([this] { context.run(); });
+    }
+  }
+  ~workers() {
+    guard_.reset();
+    context.stop();
+    for (std::thread& thread : threads_) {
+      thread.join();
+    }
+  }
+  workers(const workers&) = delete;
+  workers& operator=(const workers&) = delete;
+
+  asio::io_context context{2};
+
+ private:
+  asio::executor_work_guard<asio::io_context::executor_type> guard_;
+  std::vector<std::thread> threads_;
+};
+
+// Answers each request with the length of its body, from another thread.
+class echo_handler : public http_handler {
+ public:
+  explicit echo_handler(asio::io_context& context) : context_(context) {}
+  std::optional<http_response> OnHead(const http_request& head) override {
+    if (head.target == "/refused") {
+      return http_response{.status = 421, .body = "refused\n"};
+    }
+    return std::nullopt;
+  }
+  std::function<void()> OnRequest(http_request request,
+                                  http_reply reply) override {
+    asio::post(context_, [size = request.body.size(), reply] {
+      reply({.body = std::to_string(size)});
+    });
+    return [this] { ++given_up; };
+  }
+
+  std::atomic<int> given_up{0};
+
+ private:
+  asio::io_context& context_;
+};
+
+class http_fixture : public ::testing::Test {
+ protected:
+  http_fixture()
+      : handler_(workers_.context),
+        server_(workers_.context,
+                {.address = kHost,
+                 .port = kHttpPort,
+                 .max_head = 4096,
+                 .max_body = 10000},
+                handler_) {
+    const bool listens = leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+          BOOST_LEAF_CHECK(server_.Listen());
+          return true;
+        },
+        [] { return false; });
+    EXPECT_TRUE(listens);
+  }
+
+  static tcp::socket Connect(asio::io_context& context) {
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address_v4(kHost), kHttpPort});
+    return socket;
+  }
+
+  // All that the server sends to these bytes until it closes the connection.
+  static std::string Talk(const std::string& bytes) {
+    asio::io_context context;
+    tcp::socket socket = Connect(context);
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(bytes), error);
+    socket.shutdown(tcp::socket::shutdown_send, error);
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    return answer;
+  }
+
+  workers workers_;
+  echo_handler handler_;
+  http_server server_;
+};
+
+TEST_F(http_fixture, SmugglingIsRefused) {
+  const std::string end = "\r\n\r\n";
+  const std::vector<std::string> heads = {
+      "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\ncontent-length: 6",
+      "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\ntransfer-encoding: "
+      "chunked",
+      "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: "
+      "chunked\r\ncontent-length: 5",
+      "POST / HTTP/1.1\nhost: a\ncontent-length: 5",
+      "POST / HTTP/1.1\r\nhost : a\r\ncontent-length: 5",
+      "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: +5",
+  };
+  for (const std::string& head : heads) {
+    EXPECT_TRUE(Talk(head + end + "hello").starts_with("HTTP/1.1 400"))
+        << head << "\n"
+        << Talk(head + end + "hello");
+  }
+}
+
+TEST_F(http_fixture, LimitsHaveTheirStatus) {
+  const std::string big_head =
+      "GET / HTTP/1.1\r\nhost: a\r\nx: " + std::string(5000, 'x') + "\r\n\r\n";
+  EXPECT_TRUE(Talk(big_head).starts_with("HTTP/1.1 431"));
+  std::string many = "GET / HTTP/1.1\r\nhost: a\r\n";
+  for (int i = 0; i < 101; ++i) {
+    many += "x: y\r\n";
+  }
+  EXPECT_TRUE(Talk(many + "\r\n").starts_with("HTTP/1.1 431"));
+  const std::string big_body =
+      "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 10001\r\n\r\n";
+  EXPECT_TRUE(
+      Talk(big_body + std::string(10001, 'b')).starts_with("HTTP/1.1 413"));
+}
+
+TEST_F(http_fixture, RefusalOnTheHeadReadsNoBody) {
+  const std::string head =
+      "POST /refused HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\nexpect: "
+      "100-continue\r\n\r\n";
+  const std::string answer = Talk(head);
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 421")) << answer;
+  EXPECT_EQ(answer.find("100"), std::string::npos);
+}
+
+TEST_F(http_fixture, RandomBytesGetAnErrorOrAClose) {
+  std::mt19937_64 random(7);
+  for (int i = 0; i < 10000; ++i) {
+    std::string bytes(1 + random() % 60, '\0');
+    for (char& byte : bytes) {
+      byte = static_cast<char>(random());
+    }
+    const std::string answer =
+        Talk(i % 2 ? bytes : "GET / HTTP/1.1\r\n" + bytes + "\r\n\r\n");
+    // Random bytes can make a valid header field, whose request is answered.
+    const bool field = i % 2 == 0 && bytes.find(':') != std::string::npos;
+    ASSERT_TRUE(answer.empty() || answer.starts_with("HTTP/1.1 4") ||
+                (field && answer.starts_with("HTTP/1.1 200")))
+        << ::testing::PrintToString(bytes) << "\n"
+        << answer;
+  }
+}
+
+// Head and body in two segments race with the watch for a closed caller.
+TEST_F(http_fixture, BodiesThatArriveLateAreNotTakenForAClosedConnection) {
+  asio::io_context context;
+  tcp::socket socket = Connect(context);
+  socket.set_option(tcp::no_delay(true));
+  for (int i = 0; i < 5000; ++i) {
+    asio::write(
+        socket,
+        asio::buffer(std::string(
+            "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\n")));
+    asio::write(socket, asio::buffer(std::string("abc")));
+    std::string answer;
+    boost::system::error_code error;
+    const std::size_t head = asio::read_until(
+        socket, asio::dynamic_buffer(answer), "\r\n\r\n", error);
+    ASSERT_FALSE(error) << i << " " << error.message();
+    if (answer.size() == head) {
+      answer.resize(head + 1);
+      asio::read(socket, asio::buffer(answer.data() + head, 1), error);
+    }
+    ASSERT_EQ(answer.back(), '3') << i;
+  }
+}
+
+TEST_F(http_fixture, ClientSeesTheWholeExchange) {
+  http_client client(workers_.context, {.address = kHost, .port = kHttpPort});
+  for (int i = 0; i < 100; ++i) {
+    std::promise<http_exchange> done;
+    client.Request(
+        {.method = "POST", .target = "/", .body = std::string(i, 'x')},
+        seconds(2),
+        [&](http_exchange exchange) { done.set_value(std::move(exchange)); });
+    const http_exchange exchange = done.get_future().get();
+    ASSERT_TRUE(exchange.sent && exchange.complete);
+    ASSERT_EQ(exchange.response.body, std::to_string(i));
+  }
+}
+
+TEST(HttpClient, RefusedConnectionIsNotSent) {
+  workers pool;
+  http_client client(pool.context, {.address = kHost, .port = 18499});
+  std::promise<http_exchange> done;
+  client.Request({.method = "GET", .target = "/"}, seconds(2),
+                 [&](http_exchange e) { done.set_value(std::move(e)); });
+  EXPECT_FALSE(done.get_future().get().sent);
+}
+
+TEST(SocketPeek, TellsQuietDataAndClosedApart) {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, {asio::ip::make_address_v4(kHost), 18482});
+  tcp::socket near(context);
+  near.connect(acceptor.local_endpoint());
+  tcp::socket far = acceptor.accept();
+  EXPECT_EQ(Peek(near), peek_result::kQuiet);
+  asio::write(far, asio::buffer("x", 1));
+  near.wait(tcp::socket::wait_read);
+  EXPECT_EQ(Peek(near), peek_result::kData);
+  char byte = 0;
+  asio::read(near, asio::buffer(&byte, 1));
+  far.close();
+  near.wait(tcp::socket::wait_read);
+  EXPECT_EQ(Peek(near), peek_result::kClosed);
+}
+
+// Counts what arrives.
+class counting_listener : public mesh_listener {
+ public:
+  void OnMessage(const host_address& /*from*/,
+                 any_message /*message*/) override {
+    ++messages;
+  }
+  void OnLinkUp(const host_address& /*peer*/,
+                std::uint64_t incarnation) override {
+    up = incarnation;
+  }
+  void OnLinkDown(const host_address& /*peer*/) override { ++downs; }
+  void OnUndelivered(const host_address& /*to*/,
+                     const any_message& /*message*/) override {
+    ++undelivered;
+  }
+  std::atomic<int> messages{0};
+  std::atomic<int> downs{0};
+  std::atomic<int> undelivered{0};
+  std::atomic<std::uint64_t> up{0};
+};
+
+bool ListenOn(peer_mesh& mesh) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_CHECK(mesh.Listen());
+        return true;
+      },
+      [] { return false; });
+}
+
+template <class Condition>
+bool Eventually(const Condition& holds) {
+  for (int i = 0; i < 1000 && !holds(); ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return holds();
+}
+
+TEST(Mesh, RandomBytesOnThePeerPortsAreRefused) {
+  workers pool;
+  counting_listener heard;
+  peer_mesh mesh(pool.context,
+                 {.address = kHost, .port = kMeshPort, .incarnation = 5},
+                 heard);
+  ASSERT_TRUE(ListenOn(mesh));
+  std::mt19937_64 random(9);
+  asio::io_context context;
+  asio::ip::udp::socket datagrams(context, asio::ip::udp::v4());
+  for (int i = 0; i < 10000; ++i) {
+    std::string bytes(8 + random() % 60, '\0');
+    for (char& byte : bytes) {
+      byte = static_cast<char>(random());
+    }
+    if (i % 4 == 0) {
+      tcp::socket socket(context);
+      socket.connect({asio::ip::make_address_v4(kHost), kMeshPort});
+      boost::system::error_code error;
+      asio::write(socket, asio::buffer(bytes), error);
+    } else {
+      datagrams.send_to(asio::buffer(bytes),
+                        {asio::ip::make_address_v4(kHost), kMeshPort});
+    }
+  }
+  EXPECT_TRUE(Eventually([&] { return mesh.counters().bad_frames > 1000; }));
+  EXPECT_EQ(heard.messages, 0);
+  mesh.Close();
+}
+
+TEST(Mesh, LinksTellTheIncarnationAndTheirEnd) {
+  workers pool;
+  counting_listener first;
+  counting_listener second;
+  peer_mesh a(pool.context,
+              {.address = "127.9.0.2", .port = kMeshPort, .incarnation = 2},
+              first);
+  auto b = std::make_unique<peer_mesh>(
+      pool.context,
+      mesh_options{.address = "127.9.0.3", .port = kMeshPort, .incarnation = 3},
+      second);
+  ASSERT_TRUE(ListenOn(a) && ListenOn(*b));
+  a.Open("127.9.0.3");
+  EXPECT_TRUE(Eventually([&] { return first.up == 3; }));
+  a.Send("127.9.0.3", call_cancel{}, send_mode::kIfUp);
+  EXPECT_TRUE(Eventually([&] { return second.messages == 1; }));
+  b->Send("127.9.0.2", call_answer{}, send_mode::kReply);
+  EXPECT_TRUE(Eventually([&] { return first.messages == 1; }));
+  b->Close();
+  EXPECT_TRUE(Eventually([&] { return first.downs == 1; }));
+  a.Send("127.9.0.3", document_update{}, send_mode::kOpen);
+  EXPECT_TRUE(Eventually([&] { return first.undelivered == 1; }));
+  a.Close();
+}
+
+}  // namespace
+}  // namespace parsleyyard
--- /dev/null
+++ b/tests/processes_test.py
@@ -0,0 +1,109 @@
+#!/usr/bin/env python3
+"""Real processes and signals: the checks are those of the execution logs, never times."""
+
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "scripts"))
+import check  # noqa: E402
+import fleet  # noqa: E402
+
+BUILD = pathlib.Path(sys.argv.pop(1) if len(sys.argv) > 1 else ROOT / "build")
+QUIET = {"process": {"log_level": "warning"}, "calls": {"drain_notice": 300}}
+
+
+class ProcessesTest(unittest.TestCase):
+    def fleet(self, **options):
+        return fleet.Fleet(fleet.FAROLITO, ROOT / "out/test", build=BUILD, settings=QUIET, **options)
+
+    def assert_good(self, f, most_unknown=None):
+        verdict, _ = check.check_fleet(f)
+        problems = verdict.wrong + verdict.doubled + verdict.lost + verdict.misplaced
+        self.assertEqual(problems, [], verdict.line())
+        self.assertGreater(verdict.answered, 0)
+        if most_unknown is not None:
+            self.assertLessEqual(verdict.unknown, most_unknown, verdict.line())
+        return verdict
+
+    def test_rolling_stop_of_daemons_and_upstreams_cuts_no_call(self):
+        with self.fleet() as f:
+            f.wait_ready()
+            f.callers("load", 200, 25, 1)
+            for host in f.hosts:
+                self.assertEqual(f.terminate("daemon-" + host.address), 0)
+                f.start_daemon(host)
+                f.wait_ready(hosts=[host])
+            for host in f.hosts[:4]:
+                self.assertEqual(f.terminate("upstream-" + host.address), 0)
+                f.start_upstream(host)
+            f.join_callers("load")
+            self.assert_good(f, most_unknown=0)
+
+    def test_kills_freezes_cuts_and_declarations_break_no_promise(self):
+        with self.fleet(cold_ms=500) as f:
+            f.wait_ready()
+            f.callers("load", 300, 22, 2)
+            time.sleep(1)
+            f.kill("daemon-" + f.hosts[1].address)
+            f.kill("upstream-" + f.hosts[2].address)
+            f.signal("daemon-" + f.hosts[3].address, signal.SIGSTOP)
+            f.declare(out=f.hosts[3].domain)
+            f.commit(note="during")
+            time.sleep(5)
+            f.signal("daemon-" + f.hosts[3].address, signal.SIGCONT)
+            f.start_daemon(f.hosts[1])
+            f.start_upstream(f.hosts[2])
+            f.cut_link("both")
+            time.sleep(4)
+            f.declare(in_=f.hosts[3].domain)
+            f.cut_link("none")
+            f.fault("down")
+            f.signal("upstream-" + f.hosts[5].address, signal.SIGSTOP)
+            time.sleep(3)
+            f.signal("upstream-" + f.hosts[5].address, signal.SIGCONT)
+            f.fault("none")
+            version = f.commit(note="after")
+            f.wait_ready(version=version)
+            f.join_callers("load")
+            self.assert_good(f)
+
+    def test_workspace_bound_to_a_region_is_refused_elsewhere(self):
+        with self.fleet() as f:
+            f.wait_ready()
+            f.callers("salto", 50, 2, 3, mix=["1:order:1:montevideo:POST:/pedidos/"], workspace="canelones")
+            f.callers("both", 50, 2, 4, mix=["1:booking:1:nowhere:POST:/litoral/agenda/"], workspace="canelones")
+            f.join_callers("salto")
+            f.join_callers("both")
+            verdict = self.assert_good(f)
+            self.assertGreater(verdict.refused, 100)
+
+    def test_operator_tools(self):
+        with self.fleet() as f:
+            f.wait_ready()
+            hosts = [h.address for h in f.hosts]
+            tool = str(BUILD / "parsleyyard")
+            version = f.commit(note="second")
+            done = subprocess.run([tool, "wait-version", str(version), *hosts], capture_output=True, text=True)
+            self.assertEqual(done.returncode, 0, done.stdout)
+            late = subprocess.run([tool, "wait-version", "99", *hosts, "--timeout", "0.2"], capture_output=True, text=True)
+            self.assertEqual(late.returncode, 1)
+            self.assertIn("not in force on 13 of 13", late.stdout)
+            shown = subprocess.run([tool, "explain", hosts[0], "--domain", "mvd-a"], capture_output=True, text=True)
+            self.assertIn("in service", shown.stdout)
+            status = subprocess.run([tool, "status", hosts[0], "127.1.99.1"], capture_output=True, text=True)
+            self.assertEqual(status.returncode, 3)
+            self.assertIn("127.1.99.1: unreachable", status.stdout)
+            bad = f.out / "bad.json"
+            bad.write_text('{"a":{"routes":[{"name":"r","prefix":"/r/","service":"none"}]}}')
+            checked = subprocess.run([tool, "check", str(bad)], capture_output=True, text=True)
+            self.assertEqual(checked.returncode, 2)
+            self.assertIn("service none is not in the manifest", checked.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -100,15 +100,23 @@
   ++source_index_;
 }
 
+// One part for each failure domain.
 void world::PublishHosts() {
-  std::string text = R"({"hosts":[)";
+  std::map<std::string, std::string> parts;
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    text += (i ? "," : "") + std::string(R"({"host":")") + AddressOf(i) +
-            R"(","failure_domain":")" + DomainOf(i) + R"(","region":")" +
-            RegionOf(i) + R"(","state":")" +
+    std::string& part = parts[DomainOf(i)];
+    part += (part.empty() ? "" : ",") + std::string(R"({"host":")") +
+            AddressOf(i) + R"(","failure_domain":")" + DomainOf(i) +
+            R"(","region":")" + RegionOf(i) + R"(","state":")" +
             (leaving_.contains(AddressOf(i)) ? "leaving" : "live") + R"("})";
   }
-  Publish(document_kind::kHosts, {text + "]}"}, {"all"});
+  std::vector<std::string> names;
+  std::vector<std::string> contents;
+  for (const auto& [name, list] : parts) {
+    names.push_back(name);
+    contents.push_back(R"({"hosts":[)" + list + "]}");
+  }
+  Publish(document_kind::kHosts, std::move(contents), std::move(names));
 }
 
 // Each version marks the part of the routes with a workspace and the part of
@@ -313,6 +321,8 @@
 
 void world::CountControl(std::size_t from, std::size_t to, std::size_t bytes) {
   ++control_messages;
+  sent_bytes.resize(nodes_.size());
+  sent_bytes[from] += bytes + kMessageOverhead;
   control_bytes += bytes + kMessageOverhead;
   if (RegionOf(from) != RegionOf(to)) {
     cross_region_bytes += bytes + kMessageOverhead;
--- a/tests/world.h
+++ b/tests/world.h
@@ -132,6 +132,7 @@
   std::map<host_address, instant> listed_leaving;
   std::uint64_t control_bytes = 0;
   std::uint64_t control_messages = 0;
+  std::vector<std::uint64_t> sent_bytes;  // control bytes by node
   std::uint64_t cross_region_bytes = 0;
   std::uint64_t source_calls = 0;
   std::size_t CountAt(
