--- a/decide/decide.h
+++ b/decide/decide.h
@@ -23,6 +23,7 @@
 
 #include <boost/leaf/result.hpp>
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -346,7 +347,7 @@
 };
 
 struct control_status {
-  document_status documents[kDocumentKindNames.size()];
+  std::array<document_status, kDocumentKindNames.size()> documents;
   bool ready = false;
   bool reading = false;  // this daemon watches the platform
   duration source_age{};
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -283,7 +283,7 @@
 // Drops what the caller still sends, so that closing does not reset the
 // connection before the caller has read the answer.
 asio::awaitable<void> http_session::Linger() {
-  constexpr std::size_t kMostDropped = 256 * 1024;
+  constexpr std::size_t kMostDropped = std::size_t{256} * 1024;
   constexpr auto kLongest = std::chrono::seconds(1);
   stream_.expires_after(kLongest);
   std::size_t dropped = 0;
--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -395,7 +395,9 @@
         f.spawn("platform", f.build / "standin_platform")
         f.wait_for(fleet.PLATFORM + "/admin/stats")
         f.commit(parts=parts)
-        fleet.fetch(fleet.PLATFORM + "/admin/hosts", fleet.host_parts(hosts), timeout=30)
+        # Leaving hosts rank last, so the two that run are the readers.
+        others = {h.address for h in hosts[2:]}
+        fleet.fetch(fleet.PLATFORM + "/admin/hosts", fleet.host_parts(hosts, others), timeout=30)
         for h in running:
             f.start_daemon(h)
         wait_version(f, running, 1, seconds=60)
--- a/standins/callers.cc
+++ b/standins/callers.cc
@@ -97,8 +97,9 @@
   void Next() {
     const auto due =
         began_ + std::chrono::duration_cast<std::chrono::nanoseconds>(
-                     std::chrono::duration<double>(sent_ / options_.rate));
-    if (sent_ >= options_.rate * options_.seconds) {
+                     std::chrono::duration<double>(static_cast<double>(sent_) /
+                                                   options_.rate));
+    if (static_cast<double>(sent_) >= options_.rate * options_.seconds) {
       return;
     }
     timer_.expires_at(due);
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -119,15 +119,16 @@
 
 TEST_F(http_fixture, SmugglingIsRefused) {
   const std::string end = "\r\n\r\n";
+  const std::string start = "POST / HTTP/1.1\r\nhost: a\r\n";
+  const std::string five = "content-length: 5";
+  const std::string chunked = "transfer-encoding: chunked";
   const std::vector<std::string> heads = {
-      "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\ncontent-length: 6",
-      "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\ntransfer-encoding: "
-      "chunked",
-      "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: "
-      "chunked\r\ncontent-length: 5",
-      "POST / HTTP/1.1\nhost: a\ncontent-length: 5",
-      "POST / HTTP/1.1\r\nhost : a\r\ncontent-length: 5",
-      "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: +5",
+      start + five + "\r\ncontent-length: 6",
+      start + five + "\r\n" + chunked,
+      start + chunked + "\r\n" + five,
+      start + "content-length: +5",
+      "POST / HTTP/1.1\nhost: a\n" + five,
+      "POST / HTTP/1.1\r\nhost : a\r\n" + five,
   };
   for (const std::string& head : heads) {
     EXPECT_TRUE(Talk(head + end + "hello").starts_with("HTTP/1.1 400"))
