--- a/decide/control_documents.cc
+++ b/decide/control_documents.cc
@@ -209,6 +209,7 @@
   };
   add_children(options_.address);
   if (from.empty()) {
+    targets.insert(place->order->front());
     add_children(place->order->front());
   }
   if (place->rank == 0 && options_.region == options_.source_region) {
--- a/tests/world.h
+++ b/tests/world.h
@@ -182,6 +182,7 @@
   void CountControl(std::size_t from, std::size_t to, std::size_t bytes);
   void TickAll();
   void CheckServing(world_node& checked);
+  void DropUnknowable(std::size_t starting);
   void NextTraffic(duration interval, std::uint64_t generation);
 
   std::priority_queue<event, std::vector<event>, std::greater<>> events_;
@@ -254,6 +255,7 @@
   bool draining = false;
   bool closed_to_callers = false;
   std::uint64_t incarnation = 0;
+  std::uint64_t manifest_heard = 0;  // highest that reached this process
   std::uint64_t upstream_incarnation = 1;
   instant upstream_started{};
   int running = 0;
--- a/tests/world_node.cc
+++ b/tests/world_node.cc
@@ -35,6 +35,7 @@
   draining = false;
   closed_to_callers = false;
   incarnation = world_.random.Next() | 1;
+  manifest_heard = 0;
   view = std::make_shared<const snapshot>();
   lease = {};
   std::vector<host_address> seeds;
@@ -139,6 +140,7 @@
   const std::size_t receiver = world_.IndexOf(to);
   world_.CountControl(index_, receiver, 130);
   world_.Deliver(index_, receiver, [message](world_node& node) {
+    node.manifest_heard = std::max(node.manifest_heard, message.manifest);
     node.control->OnDigest(message);
   });
 }
@@ -232,6 +234,10 @@
 void world_node::OnSnapshot(std::shared_ptr<const snapshot> next) {
   ++world_.seen["adopted"];
   view = std::move(next);
+  if (view->manifest_in_force) {
+    manifest_heard =
+        std::max(manifest_heard, view->manifest_in_force->version());
+  }
 }
 
 void world_node::OnLease(const admission_lease& granted) {
