Feed truncated and random bytes to both peer ports and the HTTP port, 10,000 of each

The peer ports had 2,500 random byte strings over TCP and 7,500 over UDP, and no truncated messages; the HTTP port had no truncated requests. Each port now gets 10,000 of each, and a true peer is still greeted afterwards.

--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -79,6 +79,14 @@
   asio::io_context& context_;
 };
 
+std::string RandomBytes(std::mt19937_64& random, std::size_t size) {
+  std::string bytes(size, '\0');
+  for (char& byte : bytes) {
+    byte = static_cast<char>(random());
+  }
+  return bytes;
+}
+
 class http_fixture : public ::testing::Test {
  protected:
   http_fixture()
@@ -168,10 +176,7 @@
 TEST_F(http_fixture, RandomBytesGetAnErrorOrAClose) {
   std::mt19937_64 random(7);
   for (int i = 0; i < 10000; ++i) {
-    std::string bytes(1 + random() % 60, '\0');
-    for (char& byte : bytes) {
-      byte = static_cast<char>(random());
-    }
+    const std::string bytes = RandomBytes(random, 1 + random() % 60);
     const std::string answer =
         Talk(i % 2 ? bytes : "GET / HTTP/1.1\r\n" + bytes + "\r\n\r\n");
     // Random bytes can make a valid field, or end the head at once; that
@@ -185,6 +190,16 @@
   }
 }
 
+TEST_F(http_fixture, TruncatedRequestsGetAnErrorOrAClose) {
+  const std::string whole =
+      "POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nhello";
+  for (int i = 0; i < 10000; ++i) {
+    const std::string answer = Talk(whole.substr(0, i % whole.size()));
+    ASSERT_TRUE(answer.empty() || answer.starts_with("HTTP/1.1 4")) << answer;
+  }
+  EXPECT_EQ(handler_.asked, 0);
+}
+
 // Head and body in two segments race with the watch for a closed caller.
 TEST_F(http_fixture, BodiesThatArriveLateAreNotTakenForAClosedConnection) {
   asio::io_context context;
@@ -487,36 +502,56 @@
   return holds();
 }
 
-TEST(Mesh, RandomBytesOnThePeerPortsAreRefused) {
+// Sends `make(i)` 10,000 times over each of TCP and UDP. The mesh must hand
+// nothing to its listener, count bad datagrams and still answer a true peer.
+void ExpectRefused(const std::function<std::string(int)>& make) {
   workers pool;
   counting_listener heard;
   peer_mesh mesh(pool.context,
                  {.address = kHost, .port = kMeshPort, .incarnation = 5},
                  heard);
   ASSERT_TRUE(ListenOn(mesh));
-  std::mt19937_64 random(9);
+  const auto address = asio::ip::make_address_v4(kHost);
   asio::io_context context;
   asio::ip::udp::socket datagrams(context, asio::ip::udp::v4());
   for (int i = 0; i < 10000; ++i) {
-    std::string bytes(8 + random() % 60, '\0');
-    for (char& byte : bytes) {
-      byte = static_cast<char>(random());
-    }
-    if (i % 4 == 0) {
-      tcp::socket socket(context);
-      socket.connect({asio::ip::make_address_v4(kHost), kMeshPort});
-      boost::system::error_code error;
-      asio::write(socket, asio::buffer(bytes), error);
-    } else {
-      datagrams.send_to(asio::buffer(bytes),
-                        {asio::ip::make_address_v4(kHost), kMeshPort});
-    }
+    const std::string bytes = make(i);
+    tcp::socket socket(context);
+    socket.connect({address, kMeshPort});
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(bytes), error);
+    datagrams.send_to(asio::buffer(bytes), {address, kMeshPort});
   }
   EXPECT_TRUE(Eventually([&] { return mesh.counters().bad_frames > 1000; }));
   EXPECT_EQ(heard.messages, 0);
+  EXPECT_EQ(heard.up, 0u);
+  counting_listener friendly;
+  peer_mesh peer(pool.context,
+                 {.address = "127.9.0.2", .port = kMeshPort, .incarnation = 6},
+                 friendly);
+  ASSERT_TRUE(ListenOn(peer));
+  peer.Open(kHost);
+  EXPECT_TRUE(Eventually([&] { return friendly.up == 5; }));
+  peer.Close();
   mesh.Close();
 }
 
+TEST(Mesh, RandomBytesOnThePeerPortsAreRefused) {
+  std::mt19937_64 random(9);
+  ExpectRefused([&](int) { return RandomBytes(random, 8 + random() % 60); });
+}
+
+TEST(Mesh, TruncatedMessagesOnThePeerPortsAreRefused) {
+  const std::array<std::string, 3> frames = {
+      Encode(link_hello{.from = "127.9.0.3", .incarnation = 7}),
+      Encode(digest{.from = "127.9.0.3", .failure_domain = "d1"}),
+      Encode(call_request{.method = "GET", .path = "/x", .body = "abc"})};
+  ExpectRefused([&](int i) {
+    const std::string& whole = frames[i % frames.size()];
+    return whole.substr(0, i % whole.size());
+  });
+}
+
 TEST(Mesh, LinksTellTheIncarnationAndTheirEnd) {
   workers pool;
   counting_listener first;
