--- a/decide/call_target.cc
+++ b/decide/call_target.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 
 namespace parsleyyard {
 
--- a/decide/document_cache.h
+++ b/decide/document_cache.h
@@ -6,7 +6,7 @@
 #ifndef PARSLEYYARD_DECIDE_DOCUMENT_CACHE_H_
 #define PARSLEYYARD_DECIDE_DOCUMENT_CACHE_H_
 
-#include "decide/decide.h"
+#include "decide/topology.h"
 
 #include <deque>
 #include <functional>
--- a/decide/topology.cc
+++ b/decide/topology.cc
@@ -1,6 +1,6 @@
 // The distribution tree, computed by every daemon from the same documents.
 
-#include "decide/decide.h"
+#include "decide/topology.h"
 
 #include <xxhash.h>
 
--- a/net/http_server_internals.h
+++ b/net/http_server_internals.h
@@ -101,6 +101,7 @@
   asio::steady_timer watchdog_;            // see LimitTo()
   std::uint64_t limit_ = 0;                // counts the limits set
   bool timed_out_ = false;                 // the last limit was reached
+  bool readable_ = false;                  // the socket has something to read
   bool awaits_request_ = false;            // nothing of a request is here yet
   std::optional<http_response> response_;  // the answer
   bool gone_ = false;                      // the caller closed the connection
--- a/net/http_session.cc
+++ b/net/http_session.cc
@@ -110,14 +110,14 @@
   if (buffer_.size() > 0) {
     co_return true;
   }
-  bool readable = false;
+  readable_ = false;
   awaits_request_ = true;
   answered_.expires_after(server_->options_.idle_timeout);
   stream_.socket().async_wait(
       tcp::socket::wait_read,
-      [self = shared_from_this(), &readable](const beast::error_code& error) {
+      [self = shared_from_this()](const beast::error_code& error) {
         if (!error && self->awaits_request_) {
-          readable = true;
+          self->readable_ = true;
           self->answered_.cancel();
         }
       });
@@ -127,7 +127,7 @@
   awaits_request_ = false;
   beast::error_code ignored;
   stream_.socket().cancel(ignored);
-  co_return readable || Peek(stream_.socket()) != peek_result::kQuiet;
+  co_return readable_ || Peek(stream_.socket()) != peek_result::kQuiet;
 }
 
 asio::awaitable<bool> http_session::ServeOne() {
--- a/scripts/storm.py
+++ b/scripts/storm.py
@@ -38,31 +38,38 @@
     def release(self, host):
         self.touched.discard(host.address)
 
-    def kill_daemon(self):
-        host = self.free_host()
-        self.f.kill("daemon-" + host.address)
-        return lambda: (self.f.start_daemon(host), self.release(host))
+    def start(self, kind, host):
+        (self.f.start_daemon if kind == "daemon" else self.f.start_upstream)(host)
+        self.release(host)
 
-    def freeze_daemon(self):
+    def kill(self, kind):
         host = self.free_host()
-        self.f.signal("daemon-" + host.address, signal.SIGSTOP)
-        return lambda: (self.f.signal("daemon-" + host.address, signal.SIGCONT), self.release(host))
+        self.f.kill(f"{kind}-{host.address}")
+        return lambda: self.start(kind, host)
 
-    def stop_daemon(self):
+    def freeze(self, kind):
         host = self.free_host()
-        status = self.f.terminate("daemon-" + host.address)
-        assert status == 0, f"exit status {status} of a planned stop"
-        return lambda: (self.f.start_daemon(host), self.release(host))
+        name = f"{kind}-{host.address}"
+        self.f.signal(name, signal.SIGSTOP)
+        return lambda: (self.f.signal(name, signal.SIGCONT), self.release(host))
+
+    def kill_daemon(self):
+        return self.kill("daemon")
 
     def kill_upstream(self):
-        host = self.free_host()
-        self.f.kill("upstream-" + host.address)
-        return lambda: (self.f.start_upstream(host), self.release(host))
+        return self.kill("upstream")
+
+    def freeze_daemon(self):
+        return self.freeze("daemon")
 
     def freeze_upstream(self):
+        return self.freeze("upstream")
+
+    def stop_daemon(self):
         host = self.free_host()
-        self.f.signal("upstream-" + host.address, signal.SIGSTOP)
-        return lambda: (self.f.signal("upstream-" + host.address, signal.SIGCONT), self.release(host))
+        status = self.f.terminate("daemon-" + host.address)
+        assert status == 0, f"exit status {status} of a planned stop"
+        return lambda: self.start("daemon", host)
 
     def restart_upstream_cold(self):
         host = self.random.choice([h for h in self.f.hosts if h.address not in self.touched])
--- a/tests/calls_test.cc
+++ b/tests/calls_test.cc
@@ -49,22 +49,22 @@
           .outcome = run.calls[call].result->outcome};
 }
 
-TEST(Attach, LostLinkBeforeTheCallArrivesIsFencedAndTriedElsewhere) {
-  const lost_link seen = LoseLinkAt("call_sent", {}, milliseconds(600));
+void ExpectOneRunAndItsAnswer(const std::string& lost_at) {
+  const lost_link seen = LoseLinkAt(lost_at, {}, milliseconds(600));
   EXPECT_EQ(seen.runs, 1u);
   EXPECT_EQ(seen.outcome, call_outcome::kAnswer);
 }
 
+TEST(Attach, LostLinkBeforeTheCallArrivesIsFencedAndTriedElsewhere) {
+  ExpectOneRunAndItsAnswer("call_sent");
+}
+
 TEST(Attach, LostLinkWhileItRunsGetsTheAnswer) {
-  const lost_link seen = LoseLinkAt("run_started", {}, milliseconds(600));
-  EXPECT_EQ(seen.runs, 1u);
-  EXPECT_EQ(seen.outcome, call_outcome::kAnswer);
+  ExpectOneRunAndItsAnswer("run_started");
 }
 
 TEST(Attach, LostLinkAfterItRanGetsTheKeptAnswer) {
-  const lost_link seen = LoseLinkAt("answer_sent", {}, milliseconds(600));
-  EXPECT_EQ(seen.runs, 1u);
-  EXPECT_EQ(seen.outcome, call_outcome::kAnswer);
+  ExpectOneRunAndItsAnswer("answer_sent");
 }
 
 TEST(Attach, NoContactBeforeTheDeadlineIsUnknown) {
--- a/tests/documents_test.cc
+++ b/tests/documents_test.cc
@@ -1,6 +1,7 @@
 // Parsing, closure and packing of documents.
 
 #include "decide/decide.h"
+#include "decide/topology.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -87,25 +87,28 @@
   return bytes;
 }
 
-class http_fixture : public ::testing::Test {
+// A server with two threads.
+class server_fixture : public ::testing::Test {
  protected:
-  http_fixture()
+  explicit server_fixture(http_server_options options)
       : handler_(workers_.context),
-        server_(workers_.context,
-                {.address = kHost,
-                 .port = kHttpPort,
-                 .max_head = 4096,
-                 .max_body = 10000},
-                handler_) {
-    const bool listens = leaf::try_handle_all(
-        [&]() -> leaf::result<bool> {
-          BOOST_LEAF_CHECK(server_.Listen());
-          return true;
-        },
-        [] { return false; });
-    EXPECT_TRUE(listens);
+        server_(workers_.context, std::move(options), handler_) {
+    EXPECT_TRUE(server_.Listen());
   }
 
+  workers workers_;
+  echo_handler handler_;
+  http_server server_;
+};
+
+class http_fixture : public server_fixture {
+ protected:
+  http_fixture()
+      : server_fixture({.address = kHost,
+                        .port = kHttpPort,
+                        .max_head = 4096,
+                        .max_body = 10000}) {}
+
   static tcp::socket Connect(asio::io_context& context) {
     tcp::socket socket(context);
     socket.connect({asio::ip::make_address_v4(kHost), kHttpPort});
@@ -123,10 +126,6 @@
     asio::read(socket, asio::dynamic_buffer(answer), error);
     return answer;
   }
-
-  workers workers_;
-  echo_handler handler_;
-  http_server server_;
 };
 
 TEST_F(http_fixture, SmugglingIsRefused) {
@@ -330,21 +329,12 @@
   EXPECT_EQ(handler.asked, 0);
 }
 
-class slow_caller_fixture : public ::testing::Test {
+class slow_caller_fixture : public server_fixture {
  protected:
   slow_caller_fixture()
-      : handler_(workers_.context),
-        server_(workers_.context,
-                {.address = kHost,
-                 .port = kHttpPort,
-                 .idle_timeout = std::chrono::milliseconds(200)},
-                handler_) {
-    EXPECT_TRUE(server_.Listen());
-  }
-
-  workers workers_;
-  echo_handler handler_;
-  http_server server_;
+      : server_fixture({.address = kHost,
+                        .port = kHttpPort,
+                        .idle_timeout = std::chrono::milliseconds(200)}) {}
 };
 
 TEST_F(slow_caller_fixture, StalledCallersAreTimedOutAndHoldUpNobody) {
