--- /dev/null
+++ b/tests/platform_test.cc
@@ -0,0 +1,182 @@
+// The platform's names and formats, good and bad.
+
+#include "platform/platform.h"
+
+#include <gtest/gtest.h>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <random>
+
+namespace parsleyyard::platform {
+namespace {
+
+const std::string kConfig = R"({"version":7,"base-version":5,"resources":[
+  {"resource-type":"routes","metadata":{"name":"r1"},"spec":{"host":"Jepu9.example","prefix":"/lepu270/",
+   "kind":"idempotent","timeout-ms":1000,"target-latency-ms":500.0,"priority":2,
+   "traffic-split":[{"service":"a","weight":90},{"service":"b","weight":10}],"max-attempts":2,"allowed-regions":[]}},
+  {"resource-type":"routes","metadata":{"name":"r2"},"spec":{"host":"hulo84.example","prefix":"/xapu221/ny95/",
+   "kind":"non_idempotent","timeout-ms":1200,"priority":1,"service":"b","allowed-regions":["montevideo"],"new":1}},
+  {"resource-type":"services","metadata":{"name":"a"},"spec":{"health-path":"/up","max-connections":120,
+   "warmup-s":3.0,"warmup-per-s":16.0}},
+  {"resource-type":"services","metadata":{"name":"b"},"spec":{}},
+  {"resource-type":"unheard-of","metadata":{},"spec":{}},
+  {"resource-type":"limits","metadata":{},"spec":{"max-header-bytes":1000,"max-body-bytes":2000,
+   "header-timeout-ms":3000,"idle-timeout-ms":15000}}]})";
+
+const std::string kEntry =
+    R"({"service":"a","address":"10.128.0.9:8080","zone":"mvd-a","version":"v1","slots":12,"state":"ready",)"
+    R"("warmup-left-ms":250,"seq-no":4,"born":1700000000000})";
+
+// The error of an item, or what it means as text.
+std::string Decoded(const std::string& key, const std::string& value) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::string> {
+        BOOST_LEAF_AUTO(item, decoder().Decode(key, value));
+        return std::vector<std::string>{"nothing", "configuration", "instance",
+                                        "evacuation"}[item.index()];
+      },
+      [](const model_error& error) {
+        return error.place + ": " + error.message;
+      },
+      [] { return std::string("another error"); });
+}
+
+std::string Replaced(std::string text,
+                     const std::string& from,
+                     const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+TEST(PlatformDecoder, AConfigurationComesWhole) {
+  const auto item = decoder().Decode("op/config", kConfig).value();
+  const auto& config = std::get<std::shared_ptr<const configuration>>(item);
+  EXPECT_EQ(config->version(), 7u);
+  const route* first = config->FindRoute("jepu9.example", "/lepu270/2f");
+  ASSERT_NE(first, nullptr);
+  EXPECT_TRUE(first->repeatable);
+  EXPECT_EQ(first->targets.size(), 2u);
+  EXPECT_EQ(first->objective, duration(milliseconds(500)));
+  EXPECT_EQ(first->max_attempts, 2u);
+  const route* second = config->FindRoute("hulo84.example", "/xapu221/ny95/2f");
+  ASSERT_NE(second, nullptr);
+  EXPECT_FALSE(second->repeatable);
+  EXPECT_EQ(second->home_regions, std::vector<std::string>{"montevideo"});
+  EXPECT_EQ(config->FindService("a")->cold_rate, 16);
+  EXPECT_EQ(config->FindService("a")->health_path, "/up");
+  EXPECT_EQ(config->limits().max_body, 2000u);
+}
+
+TEST(PlatformDecoder, EachMistakeNamesItsPlace) {
+  const auto config = [](const std::string& from, const std::string& to) {
+    return Decoded("op/config", Replaced(kConfig, from, to));
+  };
+  EXPECT_EQ(
+      config("\"service\":\"b\",\"allowed", "\"service\":\"c\",\"allowed"),
+      "route r2: service c is not configured");
+  EXPECT_EQ(config("/lepu270/", "lepu270/"),
+            "route r1: prefix lepu270/ must begin and end in /");
+  EXPECT_EQ(config("\"version\":7", "\"version\":\"7\""),
+            "op/config, field version: must be a number");
+  EXPECT_EQ(config("\"timeout-ms\":1000", "\"timeout-ms\":-1"),
+            "op/config, resources[0], spec, field timeout-ms: must not be "
+            "negative");
+  EXPECT_EQ(Decoded("op/config", "{"),
+            "op/config: is no JSON: incomplete JSON");
+}
+
+TEST(PlatformDecoder, ARegistrationIsReadWithItsIdFromTheKey) {
+  const auto item = decoder().Decode("servers/i-1", kEntry).value();
+  const auto& known = std::get<instance>(item);
+  EXPECT_EQ(known.id, "i-1");
+  EXPECT_EQ(known.host, "10.128.0.9");
+  EXPECT_EQ(known.port, 8080);
+  EXPECT_EQ(known.cold_left, duration(milliseconds(250)));
+  EXPECT_EQ(known.started_ms, 1700000000000u);
+  EXPECT_FALSE(known.draining);
+}
+
+TEST(PlatformDecoder, ForeignRegistrationsNameNoInstance) {
+  const auto entry = [](const std::string& from, const std::string& to) {
+    return Decoded("servers/i-1", Replaced(kEntry, from, to));
+  };
+  EXPECT_EQ(entry("\"ready\"", "\"dancing\""),
+            "servers/i-1, field state: must be ready or draining, is dancing");
+  EXPECT_EQ(entry("10.128.0.9:8080", "somewhere"),
+            "servers/i-1, field address: must be an IPv4 address and a port, "
+            "is somewhere");
+  EXPECT_EQ(entry("\"slots\":12", "\"slots\":\"12\""),
+            "servers/i-1, field slots: must be a number");
+  EXPECT_EQ(entry("\"service\":\"a\",", ""),
+            "servers/i-1, field service: must be a text");
+  EXPECT_EQ(Decoded("servers/i-1", "\xff\xfe"),
+            Decoded("servers/i-1", "\xff\xfe"));
+  EXPECT_EQ(Decoded("servers/i-1", kEntry), "instance");
+  EXPECT_EQ(Decoded("op/evacuate/mvd-a", "{}"), "evacuation");
+  EXPECT_EQ(Decoded("something/else", "{}"), "nothing");
+}
+
+TEST(PlatformDecoder, RandomBytesNeverCrash) {
+  std::mt19937_64 random(42);
+  for (int i = 0; i < 10000; ++i) {
+    std::string text = i % 2 ? kConfig : kEntry;
+    for (std::size_t flips = 0; flips < 1 + random() % 8; ++flips) {
+      text[random() % text.size()] = static_cast<char>(random());
+    }
+    Decoded(i % 2 ? "op/config" : "servers/x", text);
+  }
+}
+
+TEST(PlatformBounds, KnownOnesAreReadAndOthersLeftOut) {
+  const bounds read =
+      ParseBounds("seed-lag-s=3,budget-ratio=0.1,budget-slack=64,grace-s=6,x=y")
+          .value();
+  EXPECT_EQ(read.retry_ratio, 0.1);
+  EXPECT_EQ(read.retry_slack, 64);
+  EXPECT_EQ(read.stop_time, duration(seconds(6)));
+  EXPECT_EQ(ParseBounds("").value().cold_factor, 1.5);
+  EXPECT_FALSE(ParseBounds("budget-ratio=much"));
+}
+
+http_response Answer(std::uint16_t status, std::vector<call_header> headers) {
+  return {.status = status, .headers = std::move(headers)};
+}
+
+TEST(PlatformDialect, OnlySealedAnswersOfAnInstanceAreGenuine) {
+  const dialect d;
+  EXPECT_FALSE(d.ReadAnswer(Answer(200, {})).genuine);
+  EXPECT_TRUE(d.ReadAnswer(Answer(200, {{"Server-Seal", "x"}})).genuine);
+  EXPECT_FALSE(d.ReadAnswer(Answer(200, {{"Server-Seal", "x"},
+                                         {"Content-Encoding", "gzip"}}))
+                   .genuine);
+  EXPECT_TRUE(d.ReadAnswer(Answer(503, {{"not-executed", "1"}})).not_run);
+  EXPECT_FALSE(d.ReadAnswer(Answer(503, {{"Server-Seal", "x"}})).not_run);
+  EXPECT_TRUE(d.ReadAnswer(Answer(421, {})).other_instance);
+}
+
+TEST(PlatformDialect, AnAnswerWithAnotherIdBelongsToAnotherRequest) {
+  const dialect d;
+  EXPECT_FALSE(d.Belongs(Answer(200, {{"Attempt-Id", "a"}}), "b"));
+  EXPECT_TRUE(d.Belongs(Answer(200, {{"Attempt-Id", "b"}}), "b"));
+  EXPECT_TRUE(d.Belongs(Answer(502, {}), "b"));
+}
+
+TEST(PlatformDialect, RequestsToInstancesNameTargetCallerAndTimeLeft) {
+  const dialect d;
+  std::vector<call_header> headers = {{"caller-service", "forged"},
+                                      {"Deadline-Ms", "99999"}};
+  d.SetCaller(headers, "agenda");
+  d.SetTarget(headers, "i-1", milliseconds(250));
+  EXPECT_EQ(*FindHeader(headers, "Caller-Service"), "agenda");
+  EXPECT_EQ(*FindHeader(headers, "Deadline-Ms"), "250");
+  EXPECT_EQ(*FindHeader(headers, "Target-Instance"), "i-1");
+  EXPECT_EQ(headers.size(), 3u);
+}
+
+TEST(PlatformDialect, RefusedCallersAreToldSecondsWithFractions) {
+  http_response refusal;
+  dialect().SetComeBack(refusal, milliseconds(250));
+  EXPECT_EQ(*FindHeader(refusal.headers, "Retry-After"), "0.250");
+}
+
+}  // namespace
+}  // namespace parsleyyard::platform
--- a/tools/parsleyyard_burn.cc
+++ b/tools/parsleyyard_burn.cc
@@ -64,7 +64,7 @@
     clients.push_back(std::make_unique<http_client>(
         context, http_client_options{.address = host, .port = port}));
     clients.back()->Request(
-        {.method = "GET", .target = "/metrics"}, kPageTimeout,
+        {.method = "GET", .target = "/metrics"}, {.timeout = kPageTimeout},
         [&sample, host](http_exchange exchange) {
           if (exchange.complete && exchange.response.status == 200) {
             AddPage(exchange.response.body, sample);
--- a/wire/codec_generated.h
+++ b/wire/codec_generated.h
@@ -3,7 +3,7 @@
 #ifndef PARSLEYYARD_WIRE_CODEC_GENERATED_H_
 #define PARSLEYYARD_WIRE_CODEC_GENERATED_H_
 
-#include "decide/messages_generated.h"
+#include "model/messages_generated.h"
 #include "wire/bounded.h"
 
 #include <cstdint>
@@ -12,73 +12,48 @@
 namespace parsleyyard {
 
 // Format of all messages; a peer with another one is refused.
-inline constexpr std::uint16_t kFormatVersion = 1;
+inline constexpr std::uint16_t kFormatVersion = 2;
 
 // Any message that travels between daemons.
-using any_message = std::variant<document_update,
-                                 document_request,
-                                 digest,
-                                 link_hello,
+using any_message = std::variant<link_hello,
+                                 link_probe,
+                                 view_update,
                                  call_request,
                                  call_answer,
                                  call_attach,
                                  call_cancel>;
 
 template <class Archive>
-void serialize(Archive& archive, part_ref& value) {
-  archive(bounded_string{value.name, 64});
-  archive(bounded_string{value.hash, 32});
-}
-
-template <class Archive>
-void serialize(Archive& archive, document_head& value) {
-  archive(checked_enum{value.kind, 3});
-  archive(value.revision);
-  archive(bounded_list{value.parts, 4096});
-}
-
-template <class Archive>
-void serialize(Archive& archive, part_payload& value) {
-  archive(bounded_string{value.hash, 32});
-  archive(bounded_string{value.base_hash, 32});
-  archive(value.size);
-  archive(bounded_string{value.bytes, 1100000});
+void serialize(Archive& archive, link_hello& value) {
+  archive(bounded_string{value.from, 64});
+  archive(value.incarnation);
 }
 
 template <class Archive>
-void serialize(Archive& archive, document_update& value) {
-  archive(value.head);
-  archive(bounded_list{value.payloads, 4096});
+void serialize(Archive& archive, link_probe& value) {
+  archive(value.reply);
 }
 
 template <class Archive>
-void serialize(Archive& archive, document_request& value) {
-  archive(checked_enum{value.kind, 3});
+void serialize(Archive& archive, view_item& value) {
+  archive(bounded_string{value.key, 200});
   archive(value.revision);
-  archive(bounded_list{value.held, 4096});
-}
-
-template <class Archive>
-void serialize(Archive& archive, digest& value) {
-  archive(bounded_string{value.from, 64});
-  archive(bounded_string{value.failure_domain, 64});
-  archive(value.incarnation);
-  archive(value.nonce);
-  archive(value.echo);
-  archive(value.draining);
-  archive(value.ready);
-  archive(value.declared_out);
-  archive(value.hosts);
-  archive(value.manifest);
-  archive(value.source_age_ms);
-  archive(value.outside_age_ms);
-  archive(value.remembered_manifest);
+  archive(value.removed);
+  archive(value.base_revision);
+  archive(value.size);
+  archive(bounded_string{value.packed, 1100000});
 }
 
 template <class Archive>
-void serialize(Archive& archive, link_hello& value) {
-  archive(bounded_string{value.from, 64});
-  archive(value.incarnation);
+void serialize(Archive& archive, view_update& value) {
+  archive(bounded_string{value.root, 64});
+  archive(value.cover_from);
+  archive(value.cover_to);
+  archive(value.from_revision);
+  archive(value.to_revision);
+  archive(value.age_ms);
+  archive(value.removals_held_ms);
+  archive(bounded_list{value.items, 65536});
 }
 
 template <class Archive>
@@ -97,36 +72,41 @@
 void serialize(Archive& archive, call_request& value) {
   archive(value.id);
   archive(value.target_incarnation);
-  archive(bounded_string{value.service, 64});
-  archive(bounded_string{value.route, 64});
-  archive(bounded_string{value.workspace, 64});
-  archive(checked_enum{value.priority, 3});
+  archive(bounded_string{value.instance, 200});
+  archive(bounded_string{value.service, 200});
+  archive(bounded_string{value.route, 200});
+  archive(bounded_string{value.request_id, 200});
+  archive(value.priority);
   archive(value.never_repeat);
-  archive(value.depth);
   archive(value.deadline_ms);
-  archive(value.manifest);
+  archive(value.objective_ms);
   archive(bounded_string{value.method, 32});
-  archive(bounded_string{value.path, 8192});
+  archive(bounded_string{value.target, 8192});
   archive(bounded_list{value.headers, 100});
-  archive(bounded_string{value.body, 1048576});
+  archive(bounded_string{value.body, 12000000});
 }
 
 template <class Archive>
 void serialize(Archive& archive, load_report& value) {
-  archive(value.in_flight);
-  archive(value.queued);
+  archive(value.running);
+  archive(value.waiting);
   archive(value.limit);
+  archive(value.service_us);
+  archive(value.route_us);
+  archive(value.rejected_percent);
+  archive(value.leaving);
 }
 
 template <class Archive>
 void serialize(Archive& archive, call_answer& value) {
   archive(value.id);
   archive(checked_enum{value.outcome, 3});
-  archive(checked_enum{value.reason, 20});
+  archive(checked_enum{value.reason, 21});
+  archive(value.reached_instance);
   archive(value.status);
   archive(value.load);
   archive(bounded_list{value.headers, 100});
-  archive(bounded_string{value.body, 1048576});
+  archive(bounded_string{value.body, 12000000});
 }
 
 template <class Archive>
--- a/wire/wire.cc
+++ b/wire/wire.cc
@@ -5,6 +5,9 @@
 #include <boost/iostreams/device/back_inserter.hpp>
 #include <boost/iostreams/stream.hpp>
 
+#include <zstd.h>
+
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -16,6 +19,12 @@
 using boost::endian::load_little_u16;
 using boost::endian::load_little_u32;
 
+// Set in the type of a message whose body is compressed.
+constexpr std::uint16_t kCompressedFlag = 0x8000;
+constexpr int kCompressionLevel = 1;
+constexpr std::size_t kCompressFrom = 512;  // bytes; smaller ones gain nothing
+constexpr std::size_t kWorthwhilePercent = 90;  // of the plain size
+
 const unsigned char* Bytes(std::string_view text) {
   return reinterpret_cast<const unsigned char*>(text.data());
 }
@@ -34,6 +43,56 @@
   return false;
 }
 
+// The frame with its body compressed, or as it is if that saves too little.
+std::string Compressed(std::string frame) {
+  const std::size_t plain = frame.size() - kFrameHeaderBytes;
+  std::string packed(kFrameHeaderBytes + ZSTD_compressBound(plain), '\0');
+  const std::size_t size = ZSTD_compress(
+      packed.data() + kFrameHeaderBytes, packed.size() - kFrameHeaderBytes,
+      frame.data() + kFrameHeaderBytes, plain, kCompressionLevel);
+  if (ZSTD_isError(size) || size > plain * kWorthwhilePercent / 100) {
+    return frame;
+  }
+  packed.resize(kFrameHeaderBytes + size);
+  const auto* from = reinterpret_cast<const unsigned char*>(frame.data());
+  auto* header = reinterpret_cast<unsigned char*>(packed.data());
+  std::copy_n(from, kFrameHeaderBytes, header);
+  boost::endian::store_little_u32(header, static_cast<std::uint32_t>(size));
+  boost::endian::store_little_u16(header + 6,
+                                  load_little_u16(from + 6) | kCompressedFlag);
+  return packed;
+}
+
+// The plain body of a compressed one.
+leaf::result<std::string> Decompressed(std::string_view body) {
+  const auto size = ZSTD_getFrameContentSize(body.data(), body.size());
+  if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN ||
+      size > kMaxFrameBytes) {
+    return leaf::new_error(wire_error::kTooLong);
+  }
+  std::string plain(size, '\0');
+  const std::size_t got =
+      ZSTD_decompress(plain.data(), plain.size(), body.data(), body.size());
+  if (ZSTD_isError(got) || got != plain.size()) {
+    return leaf::new_error(wire_error::kDamaged);
+  }
+  return plain;
+}
+
+leaf::result<any_message> DecodeBody(std::size_t type, std::string_view body) {
+  any_message message;
+  try {
+    io::stream<io::array_source> stream(body.data(), body.size());
+    cereal::PortableBinaryInputArchive archive(stream);
+    if (!DecodeAs(type, archive, message)) {
+      return leaf::new_error(wire_error::kUnknownType);
+    }
+  } catch (const std::exception&) {
+    return leaf::new_error(wire_error::kDamaged);
+  }
+  return message;
+}
+
 }  // namespace
 
 std::string Encode(const any_message& message) {
@@ -53,7 +112,7 @@
   boost::endian::store_little_u16(header + 4, kFormatVersion);
   boost::endian::store_little_u16(header + 6,
                                   static_cast<std::uint16_t>(message.index()));
-  return frame;
+  return frame.size() >= kCompressFrom ? Compressed(std::move(frame)) : frame;
 }
 
 leaf::result<std::size_t> BodyLength(std::string_view header) {
@@ -75,18 +134,13 @@
   if (frame.size() != kFrameHeaderBytes + length) {
     return leaf::new_error(wire_error::kTooShort);
   }
-  any_message message;
-  try {
-    io::stream<io::array_source> stream(frame.data() + kFrameHeaderBytes,
-                                        length);
-    cereal::PortableBinaryInputArchive archive(stream);
-    if (!DecodeAs(load_little_u16(Bytes(frame) + 6), archive, message)) {
-      return leaf::new_error(wire_error::kUnknownType);
-    }
-  } catch (const std::exception&) {
-    return leaf::new_error(wire_error::kDamaged);
+  const std::uint16_t type = load_little_u16(Bytes(frame) + 6);
+  const std::string_view body = frame.substr(kFrameHeaderBytes);
+  if ((type & kCompressedFlag) == 0) {
+    return DecodeBody(type, body);
   }
-  return message;
+  BOOST_LEAF_AUTO(plain, Decompressed(body));
+  return DecodeBody(type & ~kCompressedFlag, plain);
 }
 
 }  // namespace parsleyyard
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -6,7 +6,9 @@
 //
 // A frame is a header of kFrameHeaderBytes (length of the rest as u32, format
 // version as u16, message type as u16, little endian) and a cereal portable
-// binary body. The types come from schema/messages.toml.
+// binary body, compressed with zstd where that is
+// worthwhile (the highest bit of the type). The types come from
+// schema/messages.toml.
 
 #ifndef PARSLEYYARD_WIRE_WIRE_H_
 #define PARSLEYYARD_WIRE_WIRE_H_
