Admit only what ends in time with a margin; refused callers return soon

The queue was as long as the objective allowed with the usual service time, so every second admitted call ended late, and a refused caller was sent back when its objective had passed. Ruled out: telling returned callers apart by the time they have left (it varies by 15 % at the first try).

After an evacuation the instance is asked whether it is cold in place of being taken for cold.

--- a/calls/call_sender.cc
+++ b/calls/call_sender.cc
@@ -20,8 +20,9 @@
 constexpr int kSilentUsual = 4;
 // Shortest time in which a try can be answered.
 constexpr duration kShortestTry = std::chrono::milliseconds(20);
-// A refused caller is asked to come back within this part of the objective.
-constexpr unsigned kComeBackPercent = 50;
+// A refused caller is asked to come back after this part of the objective, so
+// that its next try can still be answered in time.
+constexpr unsigned kComeBackPercent = 10;
 constexpr duration kSoonestReturn = std::chrono::milliseconds(50);
 
 bool IsRetryable(refusal_reason reason) {
@@ -290,8 +291,8 @@
 // A refused caller returns when a call that runs now has ended, at random so
 // that the refused ones do not return together.
 duration sender_internals::ComeBack(const pending_call& call) {
-  const duration soon = std::max(
-      kSoonestReturn, call.plan.objective * kComeBackPercent / 100 / 2);
+  const duration soon =
+      std::max(kSoonestReturn, call.plan.objective * kComeBackPercent / 100);
   return random_.Jitter(soon, 100);
 }
 
--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -14,6 +14,12 @@
 
 // Shortest time in which the instance can answer.
 constexpr duration kShortestRun = std::chrono::milliseconds(10);
+// Times the usual service time that a call is given to end within its
+// objective: instances take longer than usual on about every fourth call.
+constexpr double kServiceMargin = 1.4;
+// Part of the time that is left then which a call may spend waiting; a longer
+// queue keeps no slot busier, it only makes more answers late.
+constexpr double kWaitPart = 0.5;
 // A waiting call whose expected end is past its horizon gives way to others
 // once this part of its service time no longer fits.
 constexpr double kLateFactor = 0.7;
@@ -91,7 +97,8 @@
   std::string own_instance_;  // the last one seen beside this daemon
   std::uint32_t slots_ = 1;
   bool was_out_ = false;
-  instant cold_until_{};  // by the view or after an evacuation
+  instant cold_until_{};          // by the view
+  instant assumed_cold_until_{};  // after an evacuation, until it is asked
 };
 
 load_report target_internals::Load(const std::string& route) const {
@@ -137,13 +144,15 @@
   if (was_out_ && !out && view->config != nullptr) {
     const service* config = view->config->FindService(options_.service);
     const duration warm_up = config ? config->warm_up : duration::zero();
-    cold_until_ = std::max(cold_until_, now + warm_up);
+    assumed_cold_until_ = now + warm_up;
+    upstream_.Probe();
   }
   was_out_ = out;
 }
 
 double target_internals::ColdRate(instant now) const {
-  if (now >= std::max(cold_until_, watch_.cold_until())) {
+  if (now >=
+      std::max({cold_until_, watch_.cold_until(), assumed_cold_until_})) {
     return 0;
   }
   const auto view = view_.Current();
@@ -222,7 +231,10 @@
 bool target_internals::Admit(const waiting_call& joining, instant now) {
   while (true) {
     const duration wait = queue_.ExpectedWait(joining, Room(now));
-    const bool in_time = now + wait + joining.service_time <= joining.horizon;
+    const duration spare = std::chrono::duration_cast<duration>(
+        (joining.horizon - now - joining.service_time * kServiceMargin) *
+        kWaitPart);
+    const bool in_time = wait <= spare;
     const bool fits =
         (in_time || wait == duration::zero()) && queue_.size() < options_.queue;
     if (fits) {
@@ -372,6 +384,9 @@
 
 void target_internals::OnUpstreamReport(const upstream_report& report) {
   watch_.OnReport(report, clock_.Now());
+  if (report.reachable) {
+    assumed_cold_until_ = instant();
+  }
   Pump();
 }
 
