Use only the newest instance at an address; run calls of others until a stop closes the listener

After a loss of power the former registrations stay for three heartbeats, and senders chose them: 168 and more refusals as wrong_instance in 4 s. A stopping daemon refused calls of others for 1.2 s although its instance was idle. Ruled out: links that were slow to return (link_lost was 22 then).

Control.OfTwoInstancesAtAnAddressOnlyTheNewestIsUsed fails without the change.

--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -5,6 +5,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 namespace parsleyyard {
 
@@ -43,6 +44,28 @@
          a.cold_left == b.cold_left;
 }
 
+// True if `a` started later, or was heard of later if that is not told.
+bool IsNewer(const known_instance& a, const known_instance& b) {
+  return std::tuple(a.about.started_ms, a.revision) >
+         std::tuple(b.about.started_ms, b.revision);
+}
+
+// An instance that lost power stays registered for some seconds after another
+// has started at its address. Only the newest one at an address can answer.
+void DropFormerInstances(snapshot& view) {
+  std::map<std::pair<host_address, std::uint16_t>, std::string> newest;
+  for (const auto& [id, known] : view.instances) {
+    std::string& at = newest[{known.about.host, known.about.port}];
+    if (at.empty() || IsNewer(known, view.instances.at(at))) {
+      at = id;
+    }
+  }
+  std::erase_if(view.instances, [&](const auto& item) {
+    const instance& about = item.second.about;
+    return newest[{about.host, about.port}] != item.first;
+  });
+}
+
 }  // namespace
 
 view_keeper::view_keeper(view_options options,
@@ -424,6 +447,7 @@
       next->evacuated.insert(out->failure_domain);
     }
   }
+  DropFormerInstances(*next);
   for (const auto& [id, known] : next->instances) {
     next->by_service[known.about.service].push_back(&known);
   }
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -316,18 +316,16 @@
 void daemon_internals::ContinueDrain() {
   const duration elapsed = clock_.Now() - drain_began_;
   const duration notice = settings_.calls.drain_notice;
+  if (elapsed < notice) {
+    return;
+  }
+  callers_.StopAccepting();
   bool target_idle = false;
   {
     const std::lock_guard lock(target_mutex_);
-    if (elapsed >= notice / 2) {
-      target_.RefuseNew();
-    }
+    target_.RefuseNew();
     target_idle = target_.idle();
   }
-  if (elapsed < notice) {
-    return;
-  }
-  callers_.StopAccepting();
   const bool idle = target_idle && gate_.in_flight() == 0;
   if (idle) {
     callers_.CloseIdle();
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -127,6 +127,26 @@
             static_cast<std::size_t>(kFleet - 1));
 }
 
+// Seen in two recorded incidents: after all machines had lost power, calls were
+// sent to instances that were gone and still registered.
+TEST(Control, OfTwoInstancesAtAnAddressOnlyTheNewestIsUsed) {
+  view_world world(kFleet);
+  world.store().Put("i/former",
+                    InstanceText("10.0.0.4", "domain-3", "ready", 1),
+                    world.now());
+  world.store().Put("i/latest",
+                    InstanceText("10.0.0.4", "domain-3", "ready", 2),
+                    world.now());
+  world.store().Put("i/former",
+                    InstanceText("10.0.0.4", "domain-3", "ready", 1, 2),
+                    world.now());
+  world.Run(seconds(1));
+  EXPECT_TRUE(world.View(0).instances.contains("latest"));
+  EXPECT_FALSE(world.View(0).instances.contains("former"));
+  EXPECT_EQ(world.View(0).by_service.at("s").size(),
+            static_cast<std::size_t>(kFleet));
+}
+
 TEST(Control, AnOlderRegistrationIsIgnored) {
   view_world world(kFleet);
   world.store().Put("i/3",
