Make four tests able to fail; remove options that nothing reads

33 mechanisms were switched off one by one in a scratch copy, and the test of each was run. Four passed all the same and now fail: ANewInstanceIsTried, UrgentCallsDisplace…, ABadConfiguration… (the configuration was kept in two places; one is gone) and AnEarlyAnswerIsTaken….

--- a/calls/calls.h
+++ b/calls/calls.h
@@ -240,12 +240,6 @@
                           std::shared_ptr<const call_answer> message) = 0;
 };
 
-// How much a cold instance may get beyond its own rate.
-struct cold_limits {
-  double factor = 1.5;  // of the service's cold rate
-  double slack = 5;     // besides, in one second
-};
-
 struct target_options {
   host_address address;                  // this daemon
   std::string failure_domain;            // of this host
@@ -257,8 +251,7 @@
   std::uint64_t kept_bytes = 16u << 20;  // answers kept for attach
   duration keep_margin = seconds(5);     // ids are kept this long past the
                                          // deadline
-  cold_limits cold;
-  bool limit = true;  // false: admit all, for comparison
+  bool limit = true;                     // false: admit all, for comparison
 };
 
 class target_internals;
--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -434,7 +434,6 @@
 void view_keeper::Publish() {
   auto next = std::make_shared<snapshot>();
   next->revision = revision_;
-  next->config = view_->config;
   for (const auto& [key, held] : items_) {
     if (const auto* config =
             std::get_if<std::shared_ptr<const configuration>>(&held.meaning)) {
--- a/net/peer_mesh.cc
+++ b/net/peer_mesh.cc
@@ -3,7 +3,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/leaf/handle_errors.hpp>
--- a/tests/calls_test.cc
+++ b/tests/calls_test.cc
@@ -242,10 +242,9 @@
   EXPECT_EQ(started_.size(), 2u);
 }
 
-// Load: twice what the instance can run, for four seconds; times spread as on
-// the users' sites. What is admitted must be answered in time, and the slots
-// must not run empty: with the whole objective as the allowed wait, more than a
-// third of the answers came late.
+// Load: twice what the instance can run, for four seconds, with times that
+// spread. What is admitted must be answered in time, and the slots must not run
+// empty.
 TEST_F(target_fixture, UnderOverloadWhatIsAdmittedIsAnsweredInTime) {
   Learn(milliseconds(200));
   std::mt19937_64 random(7);
@@ -296,16 +295,18 @@
 }
 
 TEST_F(target_fixture, UrgentCallsDisplaceLessUrgentOnes) {
-  Learn(milliseconds(200));
-  for (std::uint64_t i = 1; i <= 10; ++i) {
+  Restart({.queue = 2});
+  for (std::uint64_t i = 1; i <= 4; ++i) {
     Call(i, 2);
   }
-  const auto refused_before = answers_.size();
-  Call(50, 0);
-  EXPECT_FALSE(answers_.contains(50));
-  EXPECT_GE(answers_.size(), refused_before);
+  ASSERT_TRUE(answers_.empty()) << "two run and two wait";
+  Call(5, 2);
+  EXPECT_EQ(answers_[5].reason, refusal_reason::kOverloaded);
+  Call(6, 0);
+  EXPECT_FALSE(answers_.contains(6));
+  EXPECT_EQ(answers_[4].reason, refusal_reason::kOverloaded) << "the newest";
   Done(1);
-  EXPECT_EQ(started_.back(), 50u);
+  EXPECT_EQ(started_.back(), 6u);
 }
 
 TEST_F(target_fixture, ShortCallsOfInstancesGoBeforeNewWork) {
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -425,23 +425,27 @@
 // The server answers before it has read a long body and reads on later. The
 // connection must not carry another request.
 TEST(HttpClient, AnEarlyAnswerIsTakenAndTheConnectionGivenUp) {
+  // More than any socket buffers hold.
+  constexpr std::size_t kLong = std::size_t{64} << 20;
   workers pool;
+  std::promise<void> client_has_ended;
   std::size_t read_on = 0;
   {
     scripted_server server([&](tcp::socket& socket) {
       ReadHead(socket);
       Say(socket,
           "HTTP/1.1 413 Payload Too Large\r\ncontent-length: 0\r\n\r\n");
+      client_has_ended.get_future().wait();
       read_on = ReadAll(socket).size();
     });
-    const http_exchange exchange =
-        AskScripted(pool, {.method = "POST",
-                           .target = "/",
-                           .body = std::string(std::size_t{8} << 20, 'b')});
+    const http_exchange exchange = AskScripted(
+        pool,
+        {.method = "POST", .target = "/", .body = std::string(kLong, 'b')});
+    client_has_ended.set_value();
     EXPECT_TRUE(exchange.complete);
     EXPECT_EQ(exchange.response.status, 413);
   }
-  EXPECT_LT(read_on, std::size_t{8} << 20) << "the rest is not sent";
+  EXPECT_LT(read_on, kLong) << "the rest is not sent";
 }
 
 // Says something only in the build with the thread sanitizer.
--- a/tests/sender_test.cc
+++ b/tests/sender_test.cc
@@ -166,13 +166,15 @@
 }
 
 TEST_F(sender_fixture, ANewInstanceIsTried) {
-  Earn(20);
+  Begin(1);
+  ASSERT_EQ(sent_.back().first, "10.0.0.1");
+  Answer({.outcome = call_outcome::kAnswer,
+          .status = 200,
+          .load = {.limit = 2, .service_us = 60'000, .route_us = 60'000}});
   SetView({Instance("near", "10.0.0.1", "north-a"),
            Instance("new", "10.0.0.4", "north-a")});
-  Begin(1);
   Begin(2);
-  const std::set<host_address> used = {sent_[0].first, sent_[1].first};
-  EXPECT_TRUE(used.contains("10.0.0.4"));
+  EXPECT_EQ(sent_.back().first, "10.0.0.4");
 }
 
 // ---------------------------------------------------------------------------
