--- a/control/control.h
+++ b/control/control.h
@@ -226,6 +226,7 @@
   duration ReadAfter(instant now) const;
   std::size_t Rank() const;
   bool IsListed() const;
+  duration WholeReadDelay() const;
   std::vector<relay_peer> Peers() const;
   void Read(instant now);
   void ObservePause(instant now);
--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -24,6 +24,10 @@
 // Between the ages at which the first few daemons in order take over.
 constexpr duration kRankStep = std::chrono::milliseconds(80);
 constexpr std::size_t kRankSteps = 3;
+// The others follow one by one, so that the news of the first few reaches them
+// and they need not read: many reads at once fill the link between two regions.
+constexpr duration kFollowerStep = std::chrono::milliseconds(5);
+constexpr duration kLongestFollowing = std::chrono::milliseconds(250);
 // Reads a second of a fleet that has lost its reader, half of the platform's
 // rate; spreads the daemons behind the first few.
 constexpr std::size_t kHerdRate = 1000;
@@ -31,6 +35,8 @@
 constexpr std::size_t kDeltaFrom = 4096;  // bytes
 // A configuration that is younger than this may be one of many in a row.
 constexpr duration kConfigurationStorm = std::chrono::seconds(2);
+// Time for the first few to read everything and tell the others.
+constexpr duration kWholeReadDelay = std::chrono::milliseconds(700);
 // Shortest wait the store takes; it answers at once.
 constexpr duration kNoWait = std::chrono::milliseconds(1);
 
@@ -152,7 +158,17 @@
   if (!IsListed()) {
     return std::min(herd, options_.stale_after);
   }
-  return options_.stale_after + kRankStep * std::min(rank, kRankSteps) + herd;
+  const duration following = std::min<duration>(
+      kFollowerStep * static_cast<int>(rank), kLongestFollowing);
+  return options_.stale_after + kRankStep * std::min(rank, kRankSteps) +
+         following + herd;
+}
+
+// Those behind the first few leave a whole read to them for a while: the reader
+// tells the others what it brought.
+duration view_keeper::WholeReadDelay() const {
+  const bool among_first = Rank() < kRankSteps || !IsListed();
+  return among_first ? duration::zero() : kWholeReadDelay;
 }
 
 // News that waited in a socket while the process stood still is older than it
@@ -209,6 +225,7 @@
     Report("history gone", "");
     read_all_ = true;
     catch_up_ = true;
+    next_read_ = now + WholeReadDelay();
     return;
   }
   ++failures_;
@@ -590,9 +607,9 @@
   for (const source_item& item : *items) {
     changed |= Apply(item, confirmed);
   }
-  if (revision_ == 0) {
-    read_all_ = false;
-  }
+  // No change is missing any more, but a pause asks for an own read.
+  read_all_ = false;
+  catch_up_ &= pause_.Distrusts(read_confirmed_at_, now);
   const bool waited = pause_.Distrusts(read_confirmed_at_, now);
   Confirm(message.to_revision, waited ? confirmed_at_ : confirmed);
   if (changed) {
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -249,6 +249,23 @@
   EXPECT_FALSE(world.View(7).instances.contains("2"));
 }
 
+// Load: a configuration of 300 KB or more, and 60 Mbit/s between two regions.
+// All watches are cut at once when the store drops its history.
+TEST(Control, AFewReadEverythingForAllWhenTheHistoryIsGone) {
+  constexpr int kMany = 40;
+  view_world world(kMany);
+  world.Run(seconds(5));
+  world.SetStoreDown(true);
+  world.Run(seconds(1));
+  world.Configure();
+  world.store().Forget();
+  const std::uint64_t before = world.whole_reads();
+  world.SetStoreDown(false);
+  world.Run(seconds(3));
+  EXPECT_TRUE(AllKnow(world, 2));
+  EXPECT_LE(world.whole_reads() - before, 8u);
+}
+
 // Found by tests/processes_test.py: news that had waited in the socket of a
 // stopped process passed for fresh.
 TEST(Control, NewsThatWaitedDuringAPauseConfirmsNothing) {
