At the start of a large fleet two daemons of each region read the configuration

Cause: after a loss of power all daemons of a region read everything at once, 400 KB each over 60 Mbit/s between the regions. Now a daemon first reads the registrations alone; where its region has more than eight others, all but the first two in order wait 1.2 s to be told everything by those, compressed. Tests: Control.AfterALossOfPower..., ADaemonOfALargeFleetThatRestarts... (both fail without it).

--- a/control/control.h
+++ b/control/control.h
@@ -50,12 +50,13 @@
   kHistoryGone,  // the changes since that revision are no longer to be had
 };
 
-// Reads the store. Each call ends in one OnAll(), OnNews() or OnSourceFailure()
-// of the view keeper, in bounded time.
+// Reads the store. Each call ends in one OnAll(), OnInstances(), OnNews() or
+// OnSourceFailure() of the view keeper, in bounded time.
 class config_source {
  public:
   virtual ~config_source() = default;
   virtual void ReadAll() = 0;
+  virtual void ReadInstances() = 0;  // the registrations alone, which are small
   virtual void Watch(std::uint64_t after, duration wait) = 0;
 };
 
@@ -64,6 +65,7 @@
  public:
   virtual ~source_listener() = default;
   virtual void OnAll(source_news news) = 0;
+  virtual void OnInstances(source_news news) = 0;
   virtual void OnNews(source_news news) = 0;
   virtual void OnSourceFailure(source_failure why, std::string detail) = 0;
 };
@@ -202,6 +204,7 @@
 
   // Results of the source.
   void OnAll(source_news news);
+  void OnInstances(source_news news);
   void OnNews(source_news news);
   void OnSourceFailure(source_failure why);
 
@@ -226,6 +229,13 @@
   duration ReadAfter(instant now) const;
   std::size_t Rank() const;
   bool IsListed() const;
+  bool IsInRegion(const host_address& host) const;
+  std::size_t RankInRegion(const host_address& except) const;
+  std::size_t PeersInRegion() const;
+  void TellRegionEverything();
+  void AskForEverything() const;
+  void DropWhatIsMissing(const view_update& everything);
+  view_update Everything() const;
   duration WholeReadDelay() const;
   std::vector<relay_peer> Peers() const;
   void Read(instant now);
@@ -268,6 +278,7 @@
   bool reading_ = false;                 // a read is under way
   bool active_ = false;                  // this daemon watches for the others
   bool read_all_ = true;                 // the next read takes everything
+  bool knows_peers_ = false;             // the registrations were read once
   bool catch_up_ = false;                // a gap was seen; read at once
   bool failed_since_confirmed_ = false;  // a read failed after that
   instant config_changed_at_ = instant::min() / 2;
--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -5,6 +5,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace parsleyyard {
@@ -37,6 +38,13 @@
 constexpr duration kConfigurationStorm = std::chrono::seconds(2);
 // Time for the first few to read everything and tell the others.
 constexpr duration kWholeReadDelay = std::chrono::milliseconds(700);
+// At the start, in a region with more daemons than this, all but the first two
+// wait to be told everything by those: the configuration of a large fleet is
+// hundreds of kilobytes, which the link between two regions bears a few times a
+// second.
+constexpr std::size_t kSmallRegion = 8;
+constexpr std::size_t kFirstAtStart = 2;
+constexpr duration kStartDelay = std::chrono::milliseconds(1200);
 // Shortest wait the store takes; it answers at once.
 constexpr duration kNoWait = std::chrono::milliseconds(1);
 
@@ -135,6 +143,34 @@
   return before.size();
 }
 
+bool view_keeper::IsInRegion(const host_address& host) const {
+  return std::any_of(
+      view_->instances.begin(), view_->instances.end(), [&](const auto& item) {
+        const instance& about = item.second.about;
+        return about.host == host &&
+               RegionOf(options_.regions, about.failure_domain) ==
+                   options_.region;
+      });
+}
+
+std::size_t view_keeper::PeersInRegion() const {
+  const std::vector<relay_peer> peers = Peers();
+  return static_cast<std::size_t>(std::count_if(
+      peers.begin(), peers.end(),
+      [&](const relay_peer& peer) { return peer.region == options_.region; }));
+}
+
+// Daemons of the region before this one in order, `except` left out.
+std::size_t view_keeper::RankInRegion(const host_address& except) const {
+  const std::uint64_t own = OrderOf(options_.address);
+  const std::vector<relay_peer> peers = Peers();
+  return static_cast<std::size_t>(
+      std::count_if(peers.begin(), peers.end(), [&](const relay_peer& peer) {
+        return peer.region == options_.region && peer.address != except &&
+               OrderOf(peer.address) < own;
+      }));
+}
+
 // True if the others can know of this daemon and so tell it their news.
 bool view_keeper::IsListed() const {
   return std::any_of(view_->instances.begin(), view_->instances.end(),
@@ -207,6 +243,9 @@
   reading_ = true;
   read_began_ = now;
   ++reads_;
+  if (!knows_peers_) {
+    return source_.ReadInstances();
+  }
   const bool hurry = catch_up_ || Age(now) > options_.watch + options_.pause;
   // A watch brings every version that was missed; a whole read only the last.
   const bool many_versions =
@@ -272,6 +311,26 @@
   }
 }
 
+// The first read of a process: whom it can ask, and who goes first.
+void view_keeper::OnInstances(source_news news) {
+  const instant now = clock_.Now();
+  reading_ = false;
+  knows_peers_ = true;
+  if (revision_ != 0) {
+    return;
+  }
+  for (const source_item& item : news.items) {
+    Apply(item, read_began_);
+  }
+  Publish();
+  const bool waits = PeersInRegion() > kSmallRegion && IsListed() &&
+                     RankInRegion("") >= kFirstAtStart;
+  next_read_ = waits ? now + kStartDelay : now;
+  if (waits) {
+    AskForEverything();
+  }
+}
+
 void view_keeper::OnAll(source_news news) {
   const instant now = clock_.Now();
   reading_ = false;
@@ -343,7 +402,10 @@
   if (changed) {
     Publish();
   }
-  if (!active_ || first) {
+  if (first) {
+    return TellRegionEverything();
+  }
+  if (!active_) {
     return;
   }
   update.to_revision = revision_;
@@ -579,6 +641,23 @@
   return items;
 }
 
+// An update that holds everything names no removals. Only a daemon that has no
+// view yet depends on that: it has read registrations, of which some may have
+// gone since.
+void view_keeper::DropWhatIsMissing(const view_update& everything) {
+  if (revision_ != 0) {
+    return;
+  }
+  std::set<std::string> present;
+  for (const view_item& item : everything.items) {
+    present.insert(item.key);
+  }
+  std::erase_if(items_, [&](const auto& entry) {
+    return !present.contains(entry.first) &&
+           entry.second.revision <= everything.to_revision;
+  });
+}
+
 void view_keeper::OnUpdate(const view_update& message) {
   const instant now = clock_.Now();
   ObservePause(now);
@@ -590,7 +669,8 @@
   removals_held_until_ =
       std::max(removals_held_until_,
                now + std::chrono::milliseconds(message.removals_held_ms));
-  if (message.to_revision < revision_) {
+  const bool has_news = message.to_revision > 0;
+  if (message.to_revision < revision_ || !has_news) {
     return;
   }
   const auto items = UnpackItems(message);
@@ -604,6 +684,9 @@
     Report("reader laid down", options_.address, "an earlier one reads");
   }
   bool changed = revision_ == 0;
+  if (message.from_revision == 0) {
+    DropWhatIsMissing(message);
+  }
   for (const source_item& item : *items) {
     changed |= Apply(item, confirmed);
   }
@@ -617,17 +700,55 @@
   }
 }
 
-void view_keeper::OnPeerStarted(const host_address& peer) {
-  const bool it_can_read = Age(clock_.Now()) < options_.stale_after;
-  if (it_can_read || revision_ == 0) {
-    return;
-  }
+view_update view_keeper::Everything() const {
   view_update everything = EmptyUpdate(0);
   for (const auto& [key, held] : items_) {
     everything.items.push_back(PackItem(
         {.key = key, .revision = held.revision, .value = held.value}, {}));
   }
-  link_.SendUpdate(peer, everything);
+  return everything;
+}
+
+// At the start of a fleet the others of the region wait for the first few.
+void view_keeper::TellRegionEverything() {
+  if (PeersInRegion() <= kSmallRegion || RankInRegion("") != 0) {
+    return;
+  }
+  const relay_span all{.from = 0,
+                       .to = std::numeric_limits<std::uint64_t>::max()};
+  Spread(Everything(),
+         PlanFromSpan(options_.address, options_.region, options_.address, all,
+                      Peers(), options_.fan_out));
+}
+
+// A message without news brings up the link to the first two of the region,
+// which tell a daemon that started anew everything.
+void view_keeper::AskForEverything() const {
+  std::map<std::uint64_t, host_address> in_order;
+  for (const relay_peer& peer : Peers()) {
+    if (peer.region == options_.region) {
+      in_order[OrderOf(peer.address)] = peer.address;
+    }
+  }
+  std::size_t asked = 0;
+  for (const auto& [order, address] : in_order) {
+    if (++asked <= kFirstAtStart) {
+      link_.SendUpdate(address, EmptyUpdate(0));
+    }
+  }
+}
+
+void view_keeper::OnPeerStarted(const host_address& peer) {
+  if (revision_ == 0) {
+    return;
+  }
+  const bool store_is_away = Age(clock_.Now()) >= options_.stale_after;
+  const bool waits_for_this = PeersInRegion() > kSmallRegion &&
+                              IsInRegion(peer) &&
+                              RankInRegion(peer) < kFirstAtStart;
+  if (store_is_away || waits_for_this) {
+    link_.SendUpdate(peer, Everything());
+  }
 }
 
 }  // namespace parsleyyard
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -415,6 +415,11 @@
   view_.SetConfirmed(control_.Status().confirmed_at);
 }
 
+void daemon_internals::OnInstances(source_news news) {
+  const std::lock_guard lock(control_mutex_);
+  control_.OnInstances(std::move(news));
+}
+
 void daemon_internals::OnNews(source_news news) {
   const std::lock_guard lock(control_mutex_);
   control_.OnNews(std::move(news));
--- a/daemon/daemon_internals.h
+++ b/daemon/daemon_internals.h
@@ -87,6 +87,7 @@
 
   // source_listener
   void OnAll(source_news news) override;
+  void OnInstances(source_news news) override;
   void OnNews(source_news news) override;
   void OnSourceFailure(source_failure why, std::string detail) override;
 
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -82,6 +82,7 @@
   plain_decoder decoder;
   struct quiet : public config_source, public view_link, public view_listener {
     void ReadAll() override {}
+    void ReadInstances() override {}
     void Watch(std::uint64_t, duration) override {}
     void SendUpdate(const host_address&, const view_update& m) override {
       sent.push_back(m);
@@ -266,6 +267,48 @@
   EXPECT_LE(world.whole_reads() - before, 8u);
 }
 
+// Load: all daemons of a large fleet start at once after a loss of power.
+TEST(Control, AfterALossOfPowerAFewReadTheConfigurationForAll) {
+  constexpr int kMany = 40;
+  view_world world(kMany);
+  world.Run(seconds(5));
+  for (int i = 0; i < kMany; ++i) {
+    world.Kill(i);
+  }
+  world.Run(seconds(1));
+  world.Withdraw(3);
+  const std::uint64_t before = world.whole_reads();
+  for (int i = 0; i < kMany; ++i) {
+    world.Start(i);
+  }
+  world.Run(milliseconds(800));
+  for (int i = 0; i < kMany; ++i) {
+    EXPECT_EQ(world.Status(i).version, 1u) << i;
+    EXPECT_FALSE(world.View(i).instances.contains("3")) << i;
+  }
+  EXPECT_LE(world.whole_reads() - before, 8u);
+}
+
+TEST(Control, ADaemonOfALargeFleetThatRestartsIsToldByItsPeers) {
+  constexpr int kMany = 40;
+  view_world world(kMany);
+  world.Run(seconds(5));
+  int last = 0;
+  const auto order = [](int daemon) {
+    return OrderOf("10.0.0." + std::to_string(daemon + 1));
+  };
+  for (int i = 0; i < kMany; ++i) {
+    last = order(i) > order(last) ? i : last;
+  }
+  world.Kill(last);
+  world.Run(seconds(1));
+  const std::uint64_t before = world.whole_reads();
+  world.Start(last);
+  world.Run(milliseconds(500));
+  EXPECT_EQ(world.Status(last).version, 1u);
+  EXPECT_EQ(world.whole_reads(), before);
+}
+
 // Found by tests/processes_test.py: news that had waited in the socket of a
 // stopped process passed for fresh.
 TEST(Control, NewsThatWaitedDuringAPauseConfirmsNothing) {
--- a/tests/view_world.cc
+++ b/tests/view_world.cc
@@ -124,6 +124,7 @@
   void Begin() {
     ++life;
     alive = true;
+    lives_seen.clear();
     keeper = std::make_unique<view_keeper>(
         view_options{.address = HostOf(index),
                      .region = RegionOfDomain(index % kDomains),
@@ -139,6 +140,17 @@
     Ask([this] { keeper->OnAll(world.store_.All()); });
   }
 
+  void ReadInstances() override {
+    ++world.reads_;
+    Ask([this] {
+      source_news news = world.store_.All();
+      std::erase_if(news.items, [](const source_item& item) {
+        return !item.key.starts_with("i/");
+      });
+      keeper->OnInstances(std::move(news));
+    });
+  }
+
   void Watch(std::uint64_t after, duration wait) override {
     ++world.reads_;
     Ask([this, after, wait] {
@@ -149,6 +161,14 @@
     });
   }
 
+  // As a link does that comes up with a new incarnation.
+  void NoticeStart(int from, int from_life) {
+    int& seen = lives_seen[from];
+    if (std::exchange(seen, from_life) != from_life) {
+      keeper->OnPeerStarted(HostOf(from));
+    }
+  }
+
   // Runs `act` once the request is at the store, or fails after a while.
   void Ask(std::function<void()> act) {
     const int asked_in = life;
@@ -179,7 +199,10 @@
       return;
     }
     world.Deliver(target, kPeerTravel,
-                  [message](node& n) { n.keeper->OnUpdate(message); });
+                  [message, from = index, from_life = life](node& n) {
+                    n.NoticeStart(from, from_life);
+                    n.keeper->OnUpdate(message);
+                  });
   }
   bool IsReachable(const host_address& peer) const override {
     return world.nodes_[world.IndexOf(peer)]->alive;
@@ -198,6 +221,7 @@
   std::uint64_t highest_version = 0;
   std::uint64_t highest_revision = 0;
   std::vector<std::function<void()>> missed;  // while it stood still
+  std::map<int, int> lives_seen;              // of each peer
   std::unique_ptr<view_keeper> keeper;
 };
 
