Daemons that are on no list ask to be told news in place of reading the store

They now ask the first two daemons of their region every 500 ms, which pass on what they are told. Test: Control.ADaemonThatIsNotListedIsToldByThoseItAsks.

--- a/control/control.h
+++ b/control/control.h
@@ -233,7 +233,9 @@
   std::size_t RankInRegion(const host_address& except) const;
   std::size_t PeersInRegion() const;
   void TellRegionEverything();
-  void AskForEverything() const;
+  void AskForNews() const;
+  void AskIfNotListed(instant now);
+  void TellGuests(const view_update& news);
   void DropWhatIsMissing(const view_update& everything);
   view_update Everything() const;
   duration WholeReadDelay() const;
@@ -275,12 +277,14 @@
   instant confirmed_at_{};
   std::shared_ptr<const snapshot> view_ = std::make_shared<const snapshot>();
 
-  bool reading_ = false;                 // a read is under way
-  bool active_ = false;                  // this daemon watches for the others
-  bool read_all_ = true;                 // the next read takes everything
-  bool knows_peers_ = false;             // the registrations were read once
-  bool catch_up_ = false;                // a gap was seen; read at once
-  bool failed_since_confirmed_ = false;  // a read failed after that
+  bool reading_ = false;     // a read is under way
+  bool active_ = false;      // this daemon watches for the others
+  instant next_question_{};  // to peers, not before
+  std::map<host_address, instant> guests_;  // on no list; when they asked
+  bool read_all_ = true;                    // the next read takes everything
+  bool knows_peers_ = false;                // the registrations were read once
+  bool catch_up_ = false;                   // a gap was seen; read at once
+  bool failed_since_confirmed_ = false;     // a read failed after that
   instant config_changed_at_ = instant::min() / 2;
   instant read_began_{};
   instant next_read_{};     // not before
--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -45,6 +45,10 @@
 constexpr std::size_t kSmallRegion = 8;
 constexpr std::size_t kFirstAtStart = 2;
 constexpr duration kStartDelay = std::chrono::milliseconds(1200);
+// A daemon that is on no list asks for news this often, and is told news for as
+// long as it did so lately.
+constexpr duration kBetweenQuestions = std::chrono::milliseconds(500);
+constexpr duration kGuestStays = std::chrono::milliseconds(1600);
 // Shortest wait the store takes; it answers at once.
 constexpr duration kNoWait = std::chrono::milliseconds(1);
 
@@ -180,9 +184,7 @@
 }
 
 // Age of the view at which this daemon reads the store itself. The first in
-// order reads all the time, and so does who is not told any news: a daemon
-// whose instance is not registered yet, or no longer. The others read only if
-// the news stays away.
+// order reads all the time; the others only if its news stays away.
 duration view_keeper::ReadAfter(instant now) const {
   const std::size_t rank = Rank();
   const bool first = rank == 0 && now >= yields_until_;
@@ -191,9 +193,6 @@
   }
   const duration herd =
       std::chrono::microseconds(seconds(1)) * rank / kHerdRate;
-  if (!IsListed()) {
-    return std::min(herd, options_.stale_after);
-  }
   const duration following = std::min<duration>(
       kFollowerStep * static_cast<int>(rank), kLongestFollowing);
   return options_.stale_after + kRankStep * std::min(rank, kRankSteps) +
@@ -221,6 +220,7 @@
   const instant now = clock_.Now();
   ObservePause(now);
   DropLapsed(now);
+  AskIfNotListed(now);
   const bool stale = revision_ != 0 && Age(now) > kAway;
   if (stale != stale_reported_) {
     stale_reported_ = stale;
@@ -327,7 +327,7 @@
                      RankInRegion("") >= kFirstAtStart;
   next_read_ = waits ? now + kStartDelay : now;
   if (waits) {
-    AskForEverything();
+    AskForNews();
   }
 }
 
@@ -412,6 +412,7 @@
   update.age_ms = Milliseconds(Age(clock_.Now()));
   Spread(update, PlanFromRoot(options_.address, options_.region, Peers(),
                               options_.fan_out));
+  TellGuests(update);
 }
 
 // ---------------------------------------------------------------------------
@@ -665,12 +666,17 @@
          PlanFromSpan(options_.address, options_.region, message.root,
                       {.from = message.cover_from, .to = message.cover_to},
                       Peers(), options_.fan_out));
+  const bool is_question = message.to_revision == 0;
+  if (is_question) {
+    guests_[message.root] = now;
+    return;
+  }
+  TellGuests(message);
   const instant confirmed = now - std::chrono::milliseconds(message.age_ms);
   removals_held_until_ =
       std::max(removals_held_until_,
                now + std::chrono::milliseconds(message.removals_held_ms));
-  const bool has_news = message.to_revision > 0;
-  if (message.to_revision < revision_ || !has_news) {
+  if (message.to_revision < revision_) {
     return;
   }
   const auto items = UnpackItems(message);
@@ -721,9 +727,9 @@
                       Peers(), options_.fan_out));
 }
 
-// A message without news brings up the link to the first two of the region,
-// which tell a daemon that started anew everything.
-void view_keeper::AskForEverything() const {
+// Asks the first two of the region to pass on their news. They tell a daemon
+// that started anew everything.
+void view_keeper::AskForNews() const {
   std::map<std::uint64_t, host_address> in_order;
   for (const relay_peer& peer : Peers()) {
     if (peer.region == options_.region) {
@@ -733,11 +739,36 @@
   std::size_t asked = 0;
   for (const auto& [order, address] : in_order) {
     if (++asked <= kFirstAtStart) {
-      link_.SendUpdate(address, EmptyUpdate(0));
+      view_update question = EmptyUpdate(0);
+      question.to_revision = 0;
+      link_.SendUpdate(address, question);
     }
   }
 }
 
+// The others do not know of a daemon whose instance is not registered yet, or
+// no longer: it asks for their news again and again.
+void view_keeper::AskIfNotListed(instant now) {
+  if (revision_ == 0 || now < next_question_ || IsListed()) {
+    return;
+  }
+  next_question_ = now + kBetweenQuestions;
+  AskForNews();
+}
+
+void view_keeper::TellGuests(const view_update& news) {
+  const instant now = clock_.Now();
+  std::erase_if(guests_, [&](const auto& guest) {
+    return now - guest.second > kGuestStays;
+  });
+  for (const auto& [address, asked_at] : guests_) {
+    view_update copy = news;
+    copy.cover_from = relay_span().from;
+    copy.cover_to = relay_span().to;
+    link_.SendUpdate(address, copy);
+  }
+}
+
 void view_keeper::OnPeerStarted(const host_address& peer) {
   if (revision_ == 0) {
     return;
--- a/model/messages_generated.h
+++ b/model/messages_generated.h
@@ -101,7 +101,8 @@
   std::uint64_t from_revision =
       0;  // the receiver must hold this revision or a later one
   std::uint64_t to_revision =
-      0;                     // revision of the store that the changes lead to
+      0;  // revision of the store that the changes lead to; 0: no news, the
+          // root asks to be told some
   std::uint32_t age_ms = 0;  // since the store confirmed to_revision
   std::uint32_t removals_held_ms =
       0;  // removals within that time may be undone; keep the instances
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -206,15 +206,20 @@
   EXPECT_FALSE(world.View(7).instances.contains("3"));
 }
 
-// The others do not know of a daemon whose instance is not registered.
-TEST(Control, ADaemonThatIsNotListedReadsForItself) {
+// The others do not know of a daemon whose instance is not registered. It asks
+// them; to read every configuration itself would fill its link.
+TEST(Control, ADaemonThatIsNotListedIsToldByThoseItAsks) {
   view_world world(kFleet);
   world.Run(seconds(5));
   world.Withdraw(4);
   world.Run(milliseconds(400));
-  world.Configure();
-  world.Run(milliseconds(700));
-  EXPECT_EQ(world.Status(4).version, 2u);
+  const std::uint64_t before = world.reads();
+  for (std::uint64_t version = 2; version < 6; ++version) {
+    world.Configure();
+    world.Run(milliseconds(700));
+    EXPECT_EQ(world.Status(4).version, version);
+  }
+  EXPECT_LE(world.reads() - before, 20u) << "one daemon reads for all";
 }
 
 // Load: configurations in quick succession, each of 100 KB or more. A watch
