--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -1,10 +1,7 @@
 #include "daemon/metrics.h"
 
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
-#include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/make_histogram.hpp>
 
 #include <sstream>
 
@@ -12,11 +9,14 @@
 
 namespace {
 
-namespace acc = boost::accumulators;
+namespace bh = boost::histogram;
 
 constexpr std::size_t kCallsRemembered = 2000;
 constexpr std::size_t kDecisionsRemembered = 2000;
-constexpr std::array<double, 3> kQuantiles = {0.5, 0.99, 0.999};
+// Upper ends of the latency buckets, in seconds: from a call between two
+// daemons to the longest deadline of a few seconds.
+constexpr std::array<double, 12> kBuckets = {
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.5, 5.0};
 
 double Seconds(duration value) {
   return std::chrono::duration<double>(value).count();
@@ -32,12 +32,18 @@
 
 }  // namespace
 
+// Times to an answer. Values beyond the last bucket are in its overflow.
 struct metrics::latency {
-  acc::accumulator_set<double,
-                       acc::stats<acc::tag::count,
-                                  acc::tag::sum,
-                                  acc::tag::extended_p_square_quantile>>
-      set{acc::extended_p_square_probabilities = kQuantiles};
+  decltype(bh::make_histogram(bh::axis::variable<>(kBuckets))) buckets =
+      bh::make_histogram(bh::axis::variable<>(kBuckets));
+  double sum = 0;  // seconds
+  std::uint64_t count = 0;
+
+  void Add(double seconds) {
+    buckets(seconds);
+    sum += seconds;
+    ++count;
+  }
 };
 
 metrics::metrics() = default;
@@ -47,11 +53,11 @@
   const std::lock_guard lock(mutex_);
   ++calls_[{record.service, record.priority, record.outcome, record.reason}];
   if (record.outcome == call_outcome::kAnswer) {
-    auto& latency_of = latencies_[record.service];
+    auto& latency_of = latencies_[{record.service, record.priority}];
     if (latency_of == nullptr) {
       latency_of = std::make_unique<latency>();
     }
-    latency_of->set(Seconds(record.took));
+    latency_of->Add(Seconds(record.took));
     return;
   }
   refused_.push_back(record);
@@ -81,19 +87,23 @@
          << NameOf(reason) << "\"} " << count << "\n";
   }
   page << "# HELP parsleyyard_call_seconds Time to an answer.\n# TYPE "
-          "parsleyyard_call_seconds summary\n";
-  for (const auto& [service, latency_of] : latencies_) {
-    for (const double quantile : kQuantiles) {
-      page << "parsleyyard_call_seconds{service=\"" << service
-           << "\",quantile=\"" << quantile << "\"} "
-           << acc::quantile(latency_of->set,
-                            acc::quantile_probability = quantile)
-           << "\n";
+          "parsleyyard_call_seconds histogram\n";
+  for (const auto& [key, latency_of] : latencies_) {
+    const std::string labels = "service=\"" + key.first + "\",priority=\"" +
+                               std::to_string(key.second) + "\"";
+    // The first bucket of the histogram ends where the table begins.
+    double below = latency_of->buckets.at(-1);
+    for (std::size_t i = 0; i < kBuckets.size(); ++i) {
+      page << "parsleyyard_call_seconds_bucket{" << labels << ",le=\""
+           << kBuckets[i] << "\"} " << below << "\n";
+      below += latency_of->buckets.at(static_cast<int>(i));
     }
-    page << "parsleyyard_call_seconds_sum{service=\"" << service << "\"} "
-         << acc::sum(latency_of->set) << "\n"
-         << "parsleyyard_call_seconds_count{service=\"" << service << "\"} "
-         << acc::count(latency_of->set) << "\n";
+    page << "parsleyyard_call_seconds_bucket{" << labels << ",le=\"+Inf\"} "
+         << latency_of->count << "\n"
+         << "parsleyyard_call_seconds_sum{" << labels << "} " << latency_of->sum
+         << "\n"
+         << "parsleyyard_call_seconds_count{" << labels << "} "
+         << latency_of->count << "\n";
   }
   return page.str();
 }
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -1,4 +1,4 @@
-// Counts and latencies by Boost.Accumulators, as a text page. Internal to
+// Counts and latency histograms, as a text page. Internal to
 // daemon/.
 
 #ifndef PARSLEYYARD_DAEMON_METRICS_H_
@@ -52,7 +52,8 @@
 
   mutable std::mutex mutex_;  // leaf: nothing else is locked while it is held
   std::map<call_key, std::uint64_t> calls_;
-  std::map<std::string, std::unique_ptr<latency>> latencies_;  // by service
+  std::map<std::pair<std::string, std::uint32_t>, std::unique_ptr<latency>>
+      latencies_;  // by service and priority
   std::deque<call_record> refused_;
   std::deque<std::string> decisions_;
 };
--- /dev/null
+++ b/tests/metrics_test.cc
@@ -0,0 +1,44 @@
+// The metrics page.
+
+#include "daemon/metrics.h"
+
+#include <gtest/gtest.h>
+
+namespace parsleyyard {
+namespace {
+
+call_record Answered(duration took) {
+  return {.service = "agenda",
+          .priority = 1,
+          .outcome = call_outcome::kAnswer,
+          .took = took};
+}
+
+TEST(Metrics, LatenciesAreCumulativeBucketsByServiceAndPriority) {
+  metrics counts;
+  counts.OnCall(Answered(std::chrono::milliseconds(1)));
+  counts.OnCall(Answered(std::chrono::milliseconds(150)));
+  counts.OnCall(Answered(std::chrono::seconds(20)));
+  const std::string page = counts.Text();
+  const std::string bucket =
+      R"(parsleyyard_call_seconds_bucket{service="agenda",priority="1",le=)";
+  EXPECT_NE(page.find(bucket + "\"0.005\"} 1\n"), std::string::npos) << page;
+  EXPECT_NE(page.find(bucket + "\"0.1\"} 1\n"), std::string::npos);
+  EXPECT_NE(page.find(bucket + "\"0.2\"} 2\n"), std::string::npos);
+  EXPECT_NE(page.find(bucket + "\"5\"} 2\n"), std::string::npos);
+  EXPECT_NE(page.find(bucket + "\"+Inf\"} 3\n"), std::string::npos);
+}
+
+TEST(Metrics, CallsThatFailedAreCountedByReasonAndHaveNoLatency) {
+  metrics counts;
+  counts.OnCall({.service = "agenda",
+                 .outcome = call_outcome::kNotRun,
+                 .reason = refusal_reason::kCold});
+  const std::string page = counts.Text();
+  EXPECT_NE(page.find(R"(outcome="not_run",reason="cold"} 1)"),
+            std::string::npos);
+  EXPECT_EQ(page.find("_bucket{"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace parsleyyard
