--- a/daemon/parsleyyardd.cc
+++ b/daemon/parsleyyardd.cc
@@ -23,7 +23,7 @@
 
 constexpr int kExitUsage = 2;
 constexpr int kExitNoPort = 3;
-constexpr std::string_view kVersion = "0.2.0";
+constexpr std::string_view kVersion = "0.3.0";
 // Names the settings file where --config is not given.
 constexpr const char* kSettingsVariable = "PARSLEYYARD_SETTINGS";
 
