Use 65 % of the bound on cold instances

Cause: the pacer counts what it admits, 29 in 1.05 s (log: 34 ms a place in the queue); some of that arrives late. Test: target_fixture.AColdInstanceIsNotOverrunBySendsThatAreLate (1.4 s).

--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -25,9 +25,9 @@
 constexpr double kLateFactor = 0.7;
 
 // Part of the bound on a cold instance that is used. The instance counts
-// arrivals, and a daemon that has used up its processor share for the moment
-// sends late what it admitted in time.
-constexpr double kColdPart = 0.75;
+// arrivals: what was admitted in time may arrive late, when the daemon has used
+// up its processor share or the instance is slow to take a new connection.
+constexpr double kColdPart = 0.65;
 
 // Requests in any second; 0 if the service states no rate and so bears any.
 double ColdRateOf(const service& config, const cold_limits& limits) {
--- a/tests/calls_test.cc
+++ b/tests/calls_test.cc
@@ -367,17 +367,17 @@
   for (std::size_t i = 20; i < sent.size(); ++i) {
     EXPECT_GT(sent[i] - sent[i - 20], duration(milliseconds(999)));
   }
-  EXPECT_GE(sent.size(), 40u) << "well above the plain rate";
+  EXPECT_GE(sent.size(), 33u) << "above the plain rate, which makes 30";
 }
 
-// Found on farolito-prod-grown: of 26 allowed, 28 arrived in one second, since
-// the daemon of a slow machine sent late what it had admitted. Such a machine
-// may stand still for two tenths of a second.
+// Found in hunts: of 26 and 29 allowed in one second 28 and 33 arrived,
+// although the pacer had kept to the bound: what was sent late met what was
+// sent in time. Requests may be late by four tenths of a second.
 TEST_F(target_fixture, AColdInstanceIsNotOverrunBySendsThatAreLate) {
   Restart({.cold = {.factor = 1.5, .slack = 5}});
   const std::vector<instant> sent = SendWhileCold();
   for (std::size_t i = 20; i < sent.size(); ++i) {
-    EXPECT_GT(sent[i] - sent[i - 20], duration(milliseconds(1200)));
+    EXPECT_GT(sent[i] - sent[i - 20], duration(milliseconds(1400)));
   }
 }
 
