--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -234,10 +234,10 @@
     world.Configure();
     world.Run(milliseconds(250));
   }
-  const std::uint64_t before = world.whole_reads();
+  const std::uint64_t before = world.WholeReads();
   world.SetFrozen(7, false);
   world.Run(milliseconds(500));
-  EXPECT_EQ(world.whole_reads(), before + 1);
+  EXPECT_EQ(world.WholeReads(), before + 1);
   EXPECT_TRUE(AllKnow(world, 7));
 }
 
@@ -265,11 +265,11 @@
   world.Run(seconds(1));
   world.Configure();
   world.store().Forget();
-  const std::uint64_t before = world.whole_reads();
+  const std::uint64_t before = world.WholeReads();
   world.SetStoreDown(false);
   world.Run(seconds(3));
   EXPECT_TRUE(AllKnow(world, 2));
-  EXPECT_LE(world.whole_reads() - before, 8u);
+  EXPECT_LE(world.WholeReads() - before, 8u);
 }
 
 // Load: all daemons of a large fleet start at once after a loss of power.
@@ -282,7 +282,7 @@
   }
   world.Run(seconds(1));
   world.Withdraw(3);
-  const std::uint64_t before = world.whole_reads();
+  const std::uint64_t before = world.WholeReads();
   for (int i = 0; i < kMany; ++i) {
     world.Start(i);
   }
@@ -291,7 +291,7 @@
     EXPECT_EQ(world.Status(i).version, 1u) << i;
     EXPECT_FALSE(world.View(i).instances.contains("3")) << i;
   }
-  EXPECT_LE(world.whole_reads() - before, 8u);
+  EXPECT_LE(world.WholeReads() - before, 8u);
 }
 
 TEST(Control, ADaemonOfALargeFleetThatRestartsIsToldByItsPeers) {
@@ -307,11 +307,11 @@
   }
   world.Kill(last);
   world.Run(seconds(1));
-  const std::uint64_t before = world.whole_reads();
+  const std::uint64_t before = world.WholeReads();
   world.Start(last);
   world.Run(milliseconds(500));
   EXPECT_EQ(world.Status(last).version, 1u);
-  EXPECT_EQ(world.whole_reads(), before);
+  EXPECT_EQ(world.WholeReads(), before);
 }
 
 // Found by tests/processes_test.py: news that had waited in the socket of a
--- a/tests/view_world.h
+++ b/tests/view_world.h
@@ -90,7 +90,7 @@
   const snapshot& View(int daemon) const;
   view_status Status(int daemon) const;
   std::uint64_t reads() const { return reads_; }
-  std::uint64_t whole_reads() const { return whole_reads_; }
+  std::uint64_t WholeReads() const { return whole_reads_; }
   // What broke a promise; empty if nothing.
   const std::vector<std::string>& broken() const { return broken_; }
 
