News for daemons on no list does not go round between two that asked each other

Found by reading: B is told by A while it is on no list, joins the list, and A leaves it and asks B within 1.6 s; each passes on what the other sends. News that confirms the view less than 100 ms later is not passed on.

--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -49,6 +49,9 @@
 // long as it did so lately.
 constexpr duration kBetweenQuestions = std::chrono::milliseconds(500);
 constexpr duration kGuestStays = std::chrono::milliseconds(1600);
+// News that confirms the view only this much later is what is known already: it
+// must not go round between two daemons that asked each other.
+constexpr duration kSameNews = std::chrono::milliseconds(100);
 // Shortest wait the store takes; it answers at once.
 constexpr duration kNoWait = std::chrono::milliseconds(1);
 
@@ -671,8 +674,12 @@
     guests_[message.root] = now;
     return;
   }
-  TellGuests(message);
   const instant confirmed = now - std::chrono::milliseconds(message.age_ms);
+  const bool is_new =
+      message.to_revision > revision_ || confirmed > confirmed_at_ + kSameNews;
+  if (is_new) {
+    TellGuests(message);
+  }
   removals_held_until_ =
       std::max(removals_held_until_,
                now + std::chrono::milliseconds(message.removals_held_ms));
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -77,21 +77,27 @@
   EXPECT_EQ(world.Status(4).version, 2u);
 }
 
+// Surroundings of one view keeper that keep what it sends.
+struct scripted_parts : public config_source,
+                        public view_link,
+                        public view_listener {
+  void ReadAll() override {}
+  void ReadInstances() override {}
+  void Watch(std::uint64_t, duration) override {}
+  void SendUpdate(const host_address&, const view_update& m) override {
+    sent.push_back(m);
+  }
+  bool IsReachable(const host_address&) const override { return true; }
+  void OnSnapshot(std::shared_ptr<const snapshot>) override {}
+  void OnEvent(const view_event&) override {}
+  std::vector<view_update> sent;
+};
+
 TEST(Control, ARestartedDaemonIsToldByPeersWhileTheStoreIsDown) {
   manual_clock clock;
   plain_decoder decoder;
-  struct quiet : public config_source, public view_link, public view_listener {
-    void ReadAll() override {}
-    void ReadInstances() override {}
-    void Watch(std::uint64_t, duration) override {}
-    void SendUpdate(const host_address&, const view_update& m) override {
-      sent.push_back(m);
-    }
-    bool IsReachable(const host_address&) const override { return true; }
-    void OnSnapshot(std::shared_ptr<const snapshot>) override {}
-    void OnEvent(const view_event&) override {}
-    std::vector<view_update> sent;
-  } old_parts, new_parts;
+  scripted_parts old_parts;
+  scripted_parts new_parts;
   view_keeper old_one({.address = "10.0.0.1"}, clock, decoder, old_parts,
                       old_parts, old_parts);
   old_one.Tick();
@@ -255,6 +261,25 @@
   EXPECT_FALSE(world.View(7).instances.contains("2"));
 }
 
+// Two daemons may have asked each other, as one leaves the list and one joins.
+TEST(Control, NewsDoesNotGoRoundBetweenDaemonsThatAskedEachOther) {
+  manual_clock clock;
+  plain_decoder decoder;
+  scripted_parts parts;
+  view_keeper keeper({.address = "10.0.0.1"}, clock, decoder, parts, parts,
+                     parts);
+  keeper.OnUpdate({.root = "10.0.0.2", .to_revision = 0});
+  const view_update news{.root = "10.0.0.3", .to_revision = 5, .age_ms = 10};
+  keeper.OnUpdate(news);
+  EXPECT_EQ(parts.sent.size(), 1u);
+  clock.now += milliseconds(1);
+  keeper.OnUpdate(news);
+  EXPECT_EQ(parts.sent.size(), 1u) << "it came back";
+  clock.now += milliseconds(500);
+  keeper.OnUpdate(news);
+  EXPECT_EQ(parts.sent.size(), 2u) << "the reader confirms it anew";
+}
+
 // Load: a configuration of 300 KB or more, and 60 Mbit/s between two regions.
 // All watches are cut at once when the store drops its history.
 TEST(Control, AFewReadEverythingForAllWhenTheHistoryIsGone) {
