Log when a cold instance is limited and each request written to it

An operator could not see from the logs when a daemon limited its cold instance, by whose word, nor when a request was written to it: the only lines were those of refused calls. The call target now reports each change of the limit (instance cold, instance warm, with source, rate and rest of the warm-up) and each request to a cold instance just before it is written (sent to cold instance, with the time since the call was started). The lines have a rate limit of their own. No decision changes.

--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -52,7 +52,7 @@
                    const view_source& view,
                    upstream_port& upstream,
                    answer_link& link,
-                   call_listener& listener)
+                   target_listener& listener)
       : options_(std::move(options)),
         clock_(clock),
         view_(view),
@@ -68,6 +68,7 @@
               std::shared_ptr<const call_request> message);
   void OnAttach(const host_address& from, const call_attach& message);
   void OnCancel(const call_cancel& message);
+  void OnUpstreamWrite(const call_id& id);
   void OnUpstreamDone(const call_id& id, upstream_result result);
   void OnUpstreamReport(const upstream_report& report);
   void BeginDrain() { draining_ = true; }
@@ -80,6 +81,9 @@
   refusal_reason FindRefusal(const call_request& message, instant now) const;
   refusal_reason FindInstanceRefusal(const call_request& message) const;
   void UpdateFromView(instant now);
+  instant ColdUntil() const;
+  std::string_view ColdSource() const;
+  void ReportColdLimit(instant now);
   double CurrentColdRate(instant now) const;  // 0: no limit
   instance_capacity Capacity(instant now) const;
   waiting_call ToWaitingCall(const call_request& message,
@@ -105,7 +109,7 @@
   const view_source& view_;
   upstream_port& upstream_;
   answer_link& link_;
-  call_listener& listener_;
+  target_listener& listener_;
   call_table table_;
   wait_queue queue_;
   cold_pacer pacer_;
@@ -120,6 +124,9 @@
   instant cold_until_{};  // according to the view
   // Assumed after an evacuation, until the instance responds to a health check.
   instant assumed_cold_until_{};
+  // Last reported to the listener.
+  bool reported_cold_ = false;
+  double reported_cold_rate_ = 0;
 };
 
 load_report target_internals::Load(const std::string& route) const {
@@ -169,11 +176,37 @@
     upstream_.Probe();
   }
   was_evacuated_ = evacuated;
+  ReportColdLimit(now);
+}
+
+instant target_internals::ColdUntil() const {
+  return std::max({cold_until_, watch_.cold_until(), assumed_cold_until_});
+}
+
+std::string_view target_internals::ColdSource() const {
+  const instant end = ColdUntil();
+  if (end == cold_until_) {
+    return "registration";
+  }
+  return end == watch_.cold_until() ? "health check" : "end of an evacuation";
+}
+
+void target_internals::ReportColdLimit(instant now) {
+  const bool cold = now < ColdUntil();
+  const double rate = CurrentColdRate(now);
+  if (cold == reported_cold_ && rate == reported_cold_rate_) {
+    return;
+  }
+  reported_cold_ = cold;
+  reported_cold_rate_ = rate;
+  listener_.OnColdLimit({.cold = cold,
+                         .source = ColdSource(),
+                         .max_rate = rate,
+                         .left = cold ? ColdUntil() - now : duration::zero()});
 }
 
 double target_internals::CurrentColdRate(instant now) const {
-  if (now >=
-      std::max({cold_until_, watch_.cold_until(), assumed_cold_until_})) {
+  if (now >= ColdUntil()) {
     return 0;
   }
   const auto view = view_.Current();
@@ -380,6 +413,18 @@
   link_.SendAnswer(from, shared_answer);
 }
 
+void target_internals::OnUpstreamWrite(const call_id& id) {
+  const instant now = clock_.Now();
+  const table_entry* call = table_.Find(id);
+  const bool running =
+      call != nullptr && call->state == attempt_state::kRunning;
+  if (running && now < ColdUntil()) {
+    listener_.OnColdRequest({.request = call->message->request_id,
+                             .instance = call->message->instance,
+                             .since_start = now - call->started_at});
+  }
+}
+
 void target_internals::OnUpstreamDone(const call_id& id,
                                       upstream_result result) {
   const instant now = clock_.Now();
@@ -417,6 +462,7 @@
   if (report.reachable) {
     assumed_cold_until_ = instant();
   }
+  ReportColdLimit(clock_.Now());
   StartWaitingCalls();
 }
 
@@ -482,7 +528,7 @@
                          const view_source& view,
                          upstream_port& upstream,
                          answer_link& link,
-                         call_listener& listener)
+                         target_listener& listener)
     : internals_(std::make_unique<target_internals>(std::move(options),
                                                     clock,
                                                     view,
@@ -504,6 +550,9 @@
 void call_target::OnCancel(const call_cancel& message) {
   internals_->OnCancel(message);
 }
+void call_target::OnUpstreamWrite(const call_id& id) {
+  internals_->OnUpstreamWrite(id);
+}
 void call_target::OnUpstreamDone(const call_id& id, upstream_result result) {
   internals_->OnUpstreamDone(id, std::move(result));
 }
--- a/calls/calls.h
+++ b/calls/calls.h
@@ -265,6 +265,29 @@
   double slack = 0;  // requests
 };
 
+// A change of the limit on the requests to the instance of this host, for the
+// log.
+struct cold_limit_line {
+  bool cold = false;        // the instance counts as cold from now on
+  std::string_view source;  // latest source of the warm-up
+  double max_rate = 0;      // requests a second while cold; 0: no limit
+  duration left{};          // rest of the warm-up
+};
+
+// A request that is about to be written to a cold instance, for the log.
+struct cold_request_line {
+  std::string request;     // the caller's id of the request
+  std::string instance;    // id of the instance
+  duration since_start{};  // time since the call was started
+};
+
+// Receives the events of calls and of the instance of this host.
+class target_listener : public call_listener {
+ public:
+  virtual void OnColdLimit(const cold_limit_line& line) = 0;
+  virtual void OnColdRequest(const cold_request_line& line) = 0;
+};
+
 struct target_options {
   host_address address;                   // address of this daemon
   std::string failure_domain;             // failure domain of this host
@@ -292,7 +315,7 @@
               const view_source& view,
               upstream_port& upstream,
               answer_link& link,
-              call_listener& listener);
+              target_listener& listener);
   ~call_target();
 
   // Starts waiting calls, updates the state of the instance from the view,
@@ -302,6 +325,8 @@
               std::shared_ptr<const call_request> message);
   void OnAttach(const host_address& from, const call_attach& message);
   void OnCancel(const call_cancel& message);
+  // The request of a started call is about to be written to the instance.
+  void OnUpstreamWrite(const call_id& id);
   void OnUpstreamDone(const call_id& id, upstream_result result);
   void OnUpstreamReport(const upstream_report& report);
   // Advertises in each load report that the daemon drains. New calls are still
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -179,6 +179,10 @@
         sender_.Cancel(call);
       });
   upstream_.SetCallbacks(
+      [this](const call_id& id) {
+        const std::lock_guard lock(target_mutex_);
+        target_.OnUpstreamWrite(id);
+      },
       [this](const call_id& id, upstream_result result) {
         const std::lock_guard lock(target_mutex_);
         target_.OnUpstreamDone(id, std::move(result));
@@ -494,6 +498,22 @@
              LogFieldsFor(line));
 }
 
+void daemon_internals::OnColdLimit(const cold_limit_line& line) {
+  log_.Write(log_kind::kColdInstance, log_level::kInfo, "target",
+             line.cold ? "instance cold" : "instance warm",
+             {{"source", line.source},
+              {"max_per_s", line.max_rate},
+              {"left_ms", line.left.count() / 1000}});
+}
+
+void daemon_internals::OnColdRequest(const cold_request_line& line) {
+  log_.Write(log_kind::kColdInstance, log_level::kInfo, "target",
+             "sent to cold instance",
+             {{"request", line.request},
+              {"instance", line.instance},
+              {"after_start_ms", line.since_start.count() / 1000}});
+}
+
 void daemon_internals::SendAnswer(const host_address& to,
                                   std::shared_ptr<const call_answer> message) {
   if (!IsSelf(to)) {
--- a/daemon/daemon_internals.h
+++ b/daemon/daemon_internals.h
@@ -66,7 +66,7 @@
                          public view_listener,
                          public source_listener,
                          public call_link,
-                         public call_listener,
+                         public target_listener,
                          public answer_link,
                          public mesh_listener,
                          public http_handler {
@@ -101,9 +101,11 @@
   void SendAttach(const host_address& to, const call_attach& message) override;
   void SendCancel(const host_address& to, const call_cancel& message) override;
 
-  // call_listener for the call target; the caller gate is the one for the call
-  // sender
+  // target_listener for the call target; the caller gate is the one for the
+  // call sender
   void OnCallEvent(const call_event_line& line) override;
+  void OnColdLimit(const cold_limit_line& line) override;
+  void OnColdRequest(const cold_request_line& line) override;
 
   // answer_link
   void SendAnswer(const host_address& to,
--- a/daemon/event_log.cc
+++ b/daemon/event_log.cc
@@ -15,7 +15,8 @@
 // Rate limits by log_kind, except for good calls, whose limit is in the
 // options. The limits are high enough for all failed calls and view changes of
 // one daemon in a second.
-constexpr std::array<std::uint32_t, 3> kMaxLinesPerSecond = {100, 200, 200};
+constexpr std::array<std::uint32_t, 4> kMaxLinesPerSecond = {100, 200, 200,
+                                                             100};
 // PIPE_BUF: a pipe that poll() reports as writable accepts this much without
 // blocking.
 constexpr std::size_t kMaxWriteBytes = 4096;
--- a/daemon/event_log.h
+++ b/daemon/event_log.h
@@ -29,9 +29,15 @@
 
 // Subject of a line. Each kind has its own rate limit, so that lines about
 // calls can't crowd out lines about the view.
-enum class log_kind : std::uint8_t { kProcess, kView, kFailedCall, kGoodCall };
-inline constexpr std::array<std::string_view, 4> kLogKindNames = {
-    "process", "view", "failed_call", "good_call"};
+enum class log_kind : std::uint8_t {
+  kProcess,
+  kView,
+  kFailedCall,
+  kColdInstance,
+  kGoodCall
+};
+inline constexpr std::array<std::string_view, 5> kLogKindNames = {
+    "process", "view", "failed_call", "cold_instance", "good_call"};
 
 struct event_log_options {
   std::string host;                        // value of "host" in each line
--- a/daemon/upstream_runner.cc
+++ b/daemon/upstream_runner.cc
@@ -43,9 +43,11 @@
 
 }  // namespace
 
-void upstream_runner::SetCallbacks(result_function on_result,
+void upstream_runner::SetCallbacks(write_function on_write,
+                                   result_function on_result,
                                    health_report_function on_health_report,
                                    health_path_function health_path) {
+  on_write_ = std::move(on_write);
   on_result_ = std::move(on_result);
   on_health_report_ = std::move(on_health_report);
   health_path_ = std::move(health_path);
@@ -77,8 +79,14 @@
            request_id = message->request_id](const http_response& response) {
             return dialect_.MatchesRequest(response, request_id);
           },
-      .may_send = [this, end = clock_.Now() +
-                               time_left] { return clock_.Now() < end; }};
+      .may_send =
+          [this, id, end = clock_.Now() + time_left] {
+            const bool in_time = clock_.Now() < end;
+            if (in_time) {
+              on_write_(id);
+            }
+            return in_time;
+          }};
   const std::lock_guard lock(mutex_);
   running_[{id.origin, id.sequence}] = client_.Request(
       std::move(request), std::move(options),
--- a/daemon/upstream_runner.h
+++ b/daemon/upstream_runner.h
@@ -16,6 +16,7 @@
 class upstream_runner : public upstream_port {
  public:
   using result_function = std::function<void(const call_id&, upstream_result)>;
+  using write_function = std::function<void(const call_id&)>;
   using health_report_function = std::function<void(const upstream_report&)>;
   using health_path_function = std::function<std::string()>;
 
@@ -26,7 +27,9 @@
 
   // Call this before the first Run() or Probe(). The callbacks run on threads
   // of the io_context.
-  void SetCallbacks(result_function on_result,
+  // `on_write` is called before the request of a call is written.
+  void SetCallbacks(write_function on_write,
+                    result_function on_result,
                     health_report_function on_health_report,
                     health_path_function health_path);
   void Run(const call_id& id,
@@ -43,6 +46,7 @@
   const http_dialect& dialect_;
   const monotonic_clock clock_;
   http_client client_;
+  write_function on_write_;
   result_function on_result_;
   health_report_function on_health_report_;
   health_path_function health_path_;
--- a/tests/call_fixtures.h
+++ b/tests/call_fixtures.h
@@ -26,9 +26,19 @@
   std::mt19937_64 engine_;
 };
 
-class null_listener : public call_listener {
+// Keeps the lines about a cold instance and ignores all others.
+class recording_listener : public target_listener {
  public:
   void OnCallEvent(const call_event_line& /*line*/) override {}
+  void OnColdLimit(const cold_limit_line& line) override {
+    limits.push_back(line);
+  }
+  void OnColdRequest(const cold_request_line& line) override {
+    requests.push_back(line);
+  }
+
+  std::vector<cold_limit_line> limits;
+  std::vector<cold_request_line> requests;
 };
 
 inline const region_map kTwoRegions = {{"north-a", "north"},
@@ -166,7 +176,7 @@
   }
 
   manual_clock clock_;
-  null_listener listener_;
+  recording_listener listener_;
   std::shared_ptr<snapshot> view_;
   std::vector<std::uint64_t> started_;
   std::map<std::uint64_t, duration> time_left_;
@@ -255,7 +265,7 @@
 
   manual_clock clock_;
   seeded_random random_;
-  null_listener listener_;
+  recording_listener listener_;
   std::shared_ptr<snapshot> view_;
   std::set<host_address> down_;
   std::vector<host_address> opened_;
--- a/tests/calls_property_test.cc
+++ b/tests/calls_property_test.cc
@@ -170,7 +170,7 @@
 
   manual_clock clock_;
   seeded_random random_;
-  null_listener listener_;
+  recording_listener listener_;
   std::shared_ptr<snapshot> view_;
   std::unique_ptr<call_sender> sender_;
   std::unique_ptr<call_target> target_;
--- a/tests/calls_test.cc
+++ b/tests/calls_test.cc
@@ -387,6 +387,26 @@
   }
 }
 
+TEST_F(target_fixture, ReportsColdLimitAndEachRequestToColdInstance) {
+  clock_.now += seconds(5);
+  known_instance cold = Instance("i", "10.0.0.1", "north-a");
+  cold.cold_until = clock_.now + seconds(3);
+  SetView({cold});
+  Call(1);
+  clock_.now += milliseconds(30);
+  target_->OnUpstreamWrite({.origin = 9, .sequence = 1});
+  ASSERT_EQ(listener_.requests.size(), 1u);
+  EXPECT_EQ(listener_.requests[0].since_start, duration(milliseconds(30)));
+  ASSERT_EQ(listener_.limits.size(), 1u);
+  EXPECT_TRUE(listener_.limits[0].cold);
+  EXPECT_EQ(listener_.limits[0].source, "registration");
+  EXPECT_EQ(listener_.limits[0].max_rate, 10);
+  clock_.now += seconds(3);
+  target_->Tick();
+  ASSERT_EQ(listener_.limits.size(), 2u);
+  EXPECT_FALSE(listener_.limits[1].cold);
+}
+
 TEST_F(target_fixture, TreatsInstanceAsColdAfterEvacuation) {
   known_instance registered = Instance("i", "10.0.0.1", "north-a", 50);
   SetView({registered});
