Count a request to a cold instance when it is written

Cause: the pacer counted a request when its call was started. The request is written after its connection is open and the process has a share of the processor again. In a window the instance then gets the requests of two.

Change: from its start until it is written or dropped, a request counts in every window, since it may be written at any moment; once written it counts in the window of the write. The number of writes in a window can't exceed the limit whatever the delays are.

target_fixture.KeepsColdLimitWhenRequestsAreWrittenLate failed before (26 requests in a second, 20 allowed).

--- a/calls/call_table.h
+++ b/calls/call_table.h
@@ -24,6 +24,7 @@
   std::shared_ptr<const call_request> message;  // null once ended or if fenced
   std::shared_ptr<const call_answer> answer;  // null until ended, or if dropped
   instant started_at{};                       // start of the run
+  bool written = false;  // the request was written to the instance
   instant deadline{};
   instant objective{};
   instant expiry{};  // an ended or fenced entry is removed at this time
--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -28,10 +28,8 @@
 constexpr double kMinServiceTimeShare = 0.7;
 
 // Share of the bound on a cold instance that is used. The instance counts
-// arrivals, and a request that was sent at the right time may arrive late: the
-// daemon may have used up its share of the processor, or the instance may be
-// slow to accept a new connection. Delayed requests then arrive together with
-// later ones.
+// arrivals, and a request may arrive late after it was written. Delayed
+// requests then arrive together with later ones.
 constexpr double kColdRateShare = 0.65;
 
 // Limit for a cold instance whose cold rate is not known and whose cold limits
@@ -402,7 +400,7 @@
   call.state = attempt_state::kRunning;
   call.started_at = now;
   ++running_;
-  pacer_.OnSent(now);
+  pacer_.OnStarted(now);
   upstream_.Run(next.id, call.message, call.deadline - now);
 }
 
@@ -425,10 +423,13 @@
 
 void target_internals::OnUpstreamWrite(const call_id& id) {
   const instant now = clock_.Now();
-  const table_entry* call = table_.Find(id);
-  const bool running =
-      call != nullptr && call->state == attempt_state::kRunning;
-  if (running && now < ColdUntil()) {
+  table_entry* call = table_.Find(id);
+  if (call == nullptr || call->state != attempt_state::kRunning ||
+      std::exchange(call->written, true)) {
+    return;
+  }
+  pacer_.OnWritten(now);
+  if (now < ColdUntil()) {
     listener_.OnColdRequest({.request = call->message->request_id,
                              .instance = call->message->instance,
                              .since_start = now - call->started_at});
@@ -443,6 +444,9 @@
     return;
   }
   --running_;
+  if (!call->written) {
+    result.sent ? pacer_.OnWritten(now) : pacer_.OnDropped();
+  }
   watch_.OnDone(result, call->message->route, now - call->started_at, now);
   call_answer answer{.id = id,
                      .outcome = call_outcome::kUnknown,
--- a/calls/cold_pacer.cc
+++ b/calls/cold_pacer.cc
@@ -8,34 +8,46 @@
 namespace {
 
 // One second, with a margin for requests that arrive closer together than they
-// were sent.
+// were written.
 constexpr duration kWindow = std::chrono::milliseconds(1050);
-// Smallest time between two requests, as a share of the time between requests
-// at an even rate.
+// Smallest time between two starts, as a share of the time between starts at an
+// even rate.
 constexpr double kMinSpacingFactor = 0.5;
 
 }  // namespace
 
 bool cold_pacer::Allows(double rate, instant now) const {
-  if (now - started_at_ < kWindow) {
+  if (now - process_started_at_ < kWindow) {
     return false;
   }
   const auto first_in_window =
-      std::upper_bound(sent_at_.begin(), sent_at_.end(), now - kWindow);
-  const auto in_window = static_cast<double>(sent_at_.end() - first_in_window);
-  if (in_window + 1 > std::max(1.0, std::floor(rate))) {
+      std::upper_bound(written_at_.begin(), written_at_.end(), now - kWindow);
+  const auto in_window =
+      static_cast<std::size_t>(written_at_.end() - first_in_window);
+  const auto counted = static_cast<double>(in_window + unwritten_);
+  if (counted + 1 > std::max(1.0, std::floor(rate))) {
     return false;
   }
   const std::chrono::duration<double> min_spacing(kMinSpacingFactor /
                                                   std::max(1.0, rate));
-  return sent_at_.empty() || now - sent_at_.back() >= min_spacing;
+  return now - last_start_ >= min_spacing;
 }
 
-void cold_pacer::OnSent(instant now) {
-  sent_at_.push_back(now);
-  while (sent_at_.front() <= now - kWindow) {
-    sent_at_.pop_front();
+void cold_pacer::OnStarted(instant now) {
+  last_start_ = now;
+  ++unwritten_;
+}
+
+void cold_pacer::OnWritten(instant now) {
+  --unwritten_;
+  written_at_.push_back(now);
+  while (written_at_.front() <= now - kWindow) {
+    written_at_.pop_front();
   }
 }
 
+void cold_pacer::OnDropped() {
+  --unwritten_;
+}
+
 }  // namespace parsleyyard
--- a/tests/cold_test.cc
+++ b/tests/cold_test.cc
@@ -107,6 +107,18 @@
       << "the instance reports that it is warm";
 }
 
+TEST(ColdPacer, UnwrittenRequestCountsUntilItIsWrittenOrDropped) {
+  cold_pacer pacer(seconds(100));
+  pacer.OnStarted(seconds(110));
+  EXPECT_FALSE(pacer.Allows(1, seconds(115)));
+  pacer.OnDropped();
+  EXPECT_TRUE(pacer.Allows(1, seconds(115)));
+  pacer.OnStarted(seconds(115));
+  pacer.OnWritten(seconds(117));
+  EXPECT_FALSE(pacer.Allows(1, seconds(118)));
+  EXPECT_TRUE(pacer.Allows(1, seconds(119)));
+}
+
 TEST(ColdPacer, AllowsNothingInFirstWindowOfProcess) {
   cold_pacer pacer(seconds(100));
   EXPECT_FALSE(pacer.Allows(10, seconds(100) + milliseconds(900)));
@@ -126,5 +138,20 @@
   EXPECT_GE(written_.size(), 4u) << "callers are still served";
 }
 
+// Guards against a flood of requests that were started one by one and written
+// together, once the process had its share of the processor again.
+TEST_F(target_fixture, KeepsColdLimitWhenRequestsAreWrittenLate) {
+  Restart({.cold = {.factor = 1.5, .slack = 5}});
+  clock_.now += seconds(5);
+  SetView({ColdInstance(clock_.now)});
+  hold_writes_ = true;
+  OfferCalls(50, milliseconds(900));
+  hold_writes_ = false;
+  WriteHeldRequests();
+  OfferCalls(50, milliseconds(1000));
+  EXPECT_LE(MaxInOneSecond(written_), 20u);
+  EXPECT_GE(written_.size(), 13u);
+}
+
 }  // namespace
 }  // namespace parsleyyard::testing
