Count a warm-up from the receipt of its registration

A cold instance could get requests without a limit up to half a second before its warm-up ended.

Cause: the view keeper counted the rest of the warm-up from the start of the read that brought the registration. A watch that waits begins up to 500 ms before the registration is written. Besides, a registration that changed nothing but its sequence number did not publish its later end.

Change: the warm-up is counted from the receipt, the latest time at which the registration can have been written, and each registration of a cold instance is published.

--- a/control/control.h
+++ b/control/control.h
@@ -263,11 +263,9 @@
                  std::uint64_t as_of,
                  instant confirmed);
   void ConfirmRevision(std::uint64_t revision, instant at);
-  bool ApplyItem(const source_item& item, instant learnt_at);
+  bool ApplyItem(const source_item& item);
   bool ApplyRemoval(const source_item& item);
-  bool ApplyValue(const source_item& item,
-                  cached_item& cached,
-                  instant learnt_at);
+  bool ApplyValue(const source_item& item, cached_item& cached);
   bool IsOlder(const instance& offered, const cached_item& cached) const;
   void DropExpired(instant now);
   void HoldRemovalsAfterOutage(instant now);
--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -349,7 +349,7 @@
     return;
   }
   for (const source_item& item : update.items) {
-    ApplyItem(item, read_started_at_);
+    ApplyItem(item);
   }
   PublishSnapshot();
   const bool waits = CountPeersInRegion() > kSmallRegionPeers && IsListed() &&
@@ -424,7 +424,7 @@
     const auto cached = items_.find(item.key);
     const cached_item base =
         cached == items_.end() ? cached_item() : cached->second;
-    const bool applied = ApplyItem(item, read_started_at_);
+    const bool applied = ApplyItem(item);
     changed |= applied;
     if (applied || item.removed) {
       update.items.push_back(PackItem(item, base));
@@ -466,7 +466,7 @@
   return offered.sequence < known->sequence;
 }
 
-bool view_keeper::ApplyItem(const source_item& item, instant learnt_at) {
+bool view_keeper::ApplyItem(const source_item& item) {
   const auto found = items_.find(item.key);
   if (found != items_.end() && found->second.revision >= item.revision) {
     return false;
@@ -474,7 +474,7 @@
   if (item.removed) {
     return ApplyRemoval(item);
   }
-  return ApplyValue(item, items_[item.key], learnt_at);
+  return ApplyValue(item, items_[item.key]);
 }
 
 bool view_keeper::ApplyRemoval(const source_item& item) {
@@ -516,9 +516,7 @@
 
 // Decodes and applies the value of one item. Returns false if nothing changed
 // that calls depend on.
-bool view_keeper::ApplyValue(const source_item& item,
-                             cached_item& cached,
-                             instant learnt_at) {
+bool view_keeper::ApplyValue(const source_item& item, cached_item& cached) {
   std::string problem;
   decoded_item decoded = leaf::try_handle_all(
       [&]() -> leaf::result<decoded_item> {
@@ -552,16 +550,19 @@
     const auto* known = std::get_if<instance>(&cached.decoded);
     const bool same = known != nullptr && HasSameState(*known, *offered);
     const bool reregistered = std::exchange(cached.expired, false);
-    if (!same || offered->cold_left > duration::zero()) {
-      cached.cold_until = learnt_at + offered->cold_left;
+    const bool cold = offered->cold_left > duration::zero();
+    if (!same || cold) {
+      // Counted from now: when the registration was written is not known, and
+      // a read may have begun before that.
+      cached.cold_until = clock_.Now() + offered->cold_left;
     }
     if (!same) {
       Report(offered->draining ? "instance draining" : "instance ready",
-             offered->id, offered->cold_left > duration::zero() ? "cold" : "");
+             offered->id, cold ? "cold" : "");
     }
     cached.value = item.value;
     cached.decoded = std::move(decoded);
-    return !same || reregistered;
+    return !same || reregistered || cold;
   }
   if (const auto* config =
           std::get_if<std::shared_ptr<const configuration>>(&decoded)) {
@@ -737,7 +738,7 @@
     DropItemsMissingFrom(message);
   }
   for (const source_item& item : *items) {
-    changed |= ApplyItem(item, confirmed);
+    changed |= ApplyItem(item);
   }
   // No change is missing any more, but after a pause an own read is needed.
   needs_full_read_ = false;
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -174,6 +174,27 @@
       << "the instance restarted";
 }
 
+// Guards against a warm-up that ends too early: the watch that returns a
+// registration may have begun long before the registration was written.
+TEST(Control, WarmUpDoesNotEndBeforeItsRegistrationSays) {
+  view_world world(kDaemons);
+  world.Run(seconds(5));
+  for (int sequence = 2; sequence < 10; ++sequence) {
+    world.Run(milliseconds(130) * sequence);
+    const instant registered_at = world.now();
+    world.store().Put("i/3",
+                      InstanceText("10.0.0.4", "domain-3", "ready", 1'000'000,
+                                   sequence, 3000),
+                      registered_at);
+    world.Run(seconds(1));
+    for (int i = 0; i < kDaemons; ++i) {
+      EXPECT_GE(world.View(i).instances.at("3").cold_until,
+                registered_at + seconds(3))
+          << "daemon " << i << ", registration " << sequence;
+    }
+  }
+}
+
 // Registrations expire during a store outage. Live instances register again
 // about two seconds after its end.
 TEST(Control, KeepsExpiredInstancesUntilReregistrationTimeAfterOutage) {
