Treat an instance as cold until something says that it is warm

Change: class warm_up holds what is known and from whom. An instance counts as warm only by its registration or a health check that states it; after an event that may have made it cold, health checks are repeated until one does. The rest of the warm-up in a health report is an optional.

target_fixture.LimitsInstanceUntilItsRegistrationIsKnown, RejectedHealthCheckDoesNotEndWarmUp, LimitsInstanceThatRespondsAgainWithoutItsState and LimitsInstanceAfterEvacuationWithoutConfiguration failed before (50 requests in a second; 10, 10, 10 and 1 allowed). The two tests that end a warm-up by a health check now state in it that the instance is warm.

--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -4,6 +4,7 @@
 #include "calls/cold_pacer.h"
 #include "calls/instance_watch.h"
 #include "calls/wait_queue.h"
+#include "calls/warm_up.h"
 #include "model/pause_guard.h"
 
 #include <algorithm>
@@ -89,8 +90,7 @@
   refusal_reason FindRefusal(const call_request& message, instant now) const;
   refusal_reason FindInstanceRefusal(const call_request& message) const;
   void UpdateFromView(instant now);
-  instant ColdUntil() const;
-  std::string_view ColdSource() const;
+  instant WarmAtTheLatest(instant now) const;
   void ReportColdLimit(instant now);
   std::optional<double> CurrentColdRate(instant now) const;  // empty: no limit
   instance_capacity Capacity(instant now) const;
@@ -121,6 +121,7 @@
   call_table table_;
   wait_queue queue_;
   cold_pacer pacer_;
+  warm_up warm_up_;
   instance_watch watch_;
   pause_guard pause_guard_;
   std::uint32_t running_ = 0;
@@ -129,9 +130,6 @@
   std::string last_instance_;  // id of the last instance registered here
   std::uint32_t slots_ = 1;
   bool was_evacuated_ = false;
-  instant cold_until_{};  // according to the view
-  // Assumed after an evacuation, until the instance responds to a health check.
-  instant assumed_cold_until_{};
   // Last reported to the listener.
   bool reported_cold_ = false;
   std::optional<double> reported_cold_rate_;
@@ -174,47 +172,43 @@
   if (registered != nullptr) {
     last_instance_ = registered->registration.id;
     slots_ = std::max(1U, registered->registration.slots);
-    cold_until_ = std::max(cold_until_, registered->cold_until);
+    warm_up_.OnRegistration(registered->cold_until);
   }
   const bool evacuated = view->evacuated.contains(options_.failure_domain);
-  if (was_evacuated_ && !evacuated && view->config != nullptr) {
-    const service* config = view->config->FindService(options_.service);
-    const duration warm_up = config ? config->warm_up : duration::zero();
-    assumed_cold_until_ = now + warm_up;
-    upstream_.Probe();
+  if (was_evacuated_ && !evacuated) {
+    warm_up_.OnDoubt(warm_up_source::kEvacuationEnd, WarmAtTheLatest(now));
   }
   was_evacuated_ = evacuated;
   ReportColdLimit(now);
 }
 
-instant target_internals::ColdUntil() const {
-  return std::max({cold_until_, watch_.cold_until(), assumed_cold_until_});
-}
-
-std::string_view target_internals::ColdSource() const {
-  const instant end = ColdUntil();
-  if (end == cold_until_) {
-    return "registration";
-  }
-  return end == watch_.cold_until() ? "health check" : "end of an evacuation";
+// Returns the time at which the instance is warm if it becomes cold now;
+// instant::max() as long as its warm-up time is not known.
+instant target_internals::WarmAtTheLatest(instant now) const {
+  const auto view = view_.Current();
+  const service* config =
+      view->config ? view->config->FindService(options_.service) : nullptr;
+  return config ? now + config->warm_up : instant::max();
 }
 
 void target_internals::ReportColdLimit(instant now) {
-  const bool cold = now < ColdUntil();
+  const bool cold = warm_up_.IsCold(now);
   const std::optional<double> rate = CurrentColdRate(now);
   if (cold == reported_cold_ && rate == reported_cold_rate_) {
     return;
   }
   reported_cold_ = cold;
   reported_cold_rate_ = rate;
-  listener_.OnColdLimit({.cold = cold,
-                         .source = ColdSource(),
-                         .max_rate = rate,
-                         .left = cold ? ColdUntil() - now : duration::zero()});
+  listener_.OnColdLimit(
+      {.cold = cold,
+       .source =
+           kWarmUpSourceNames[static_cast<std::size_t>(warm_up_.source())],
+       .max_rate = rate,
+       .left = cold ? warm_up_.cold_until() - now : duration::zero()});
 }
 
 std::optional<double> target_internals::CurrentColdRate(instant now) const {
-  if (now >= ColdUntil()) {
+  if (!warm_up_.IsCold(now)) {
     return std::nullopt;
   }
   const auto view = view_.Current();
@@ -429,7 +423,7 @@
     return;
   }
   pacer_.OnWritten(now);
-  if (now < ColdUntil()) {
+  if (warm_up_.IsCold(now)) {
     listener_.OnColdRequest({.request = call->message->request_id,
                              .instance = call->message->instance,
                              .since_start = now - call->started_at});
@@ -471,12 +465,17 @@
   StartWaitingCalls();
 }
 
+// A response that does not state the warm-up, such as a rejection by a full
+// instance, may come from an instance that has restarted.
 void target_internals::OnUpstreamReport(const upstream_report& report) {
-  watch_.OnReport(report, clock_.Now());
-  if (report.reachable) {
-    assumed_cold_until_ = instant();
+  const instant now = clock_.Now();
+  watch_.OnReport(report, now);
+  if (report.cold_left) {
+    warm_up_.OnHealthCheck(*report.cold_left, now);
+  } else if (report.reachable && !warm_up_.NeedsHealthCheck(now)) {
+    warm_up_.OnDoubt(warm_up_source::kUnclearHealthCheck, WarmAtTheLatest(now));
   }
-  ReportColdLimit(clock_.Now());
+  ReportColdLimit(now);
   StartWaitingCalls();
 }
 
@@ -530,7 +529,7 @@
 void target_internals::Tick() {
   const instant now = clock_.Now();
   UpdateFromView(now);
-  if (watch_.ProbeDue(now)) {
+  if (watch_.ProbeDue(warm_up_.NeedsHealthCheck(now), now)) {
     upstream_.Probe();
   }
   table_.Expire(now);
--- a/calls/calls.h
+++ b/calls/calls.h
@@ -235,7 +235,8 @@
   bool reachable = false;  // a whole response arrived
   bool healthy = false;
   std::string instance;  // id of the instance; empty: not stated
-  duration cold_left{};  // rest of the warm-up; zero: warm
+  // Rest of the warm-up; zero: warm; empty: not stated.
+  std::optional<duration> cold_left;
 };
 
 // Runs calls at the instance. Each Run() leads to one OnUpstreamDone().
--- a/calls/instance_watch.cc
+++ b/calls/instance_watch.cc
@@ -55,7 +55,6 @@
     return;
   }
   down_ = false;
-  cold_until_ = std::max(cold_until_, now + report.cold_left);
 }
 
 duration instance_watch::ServiceTimeOf(const std::string& route) const {
@@ -66,8 +65,8 @@
   return duration(static_cast<duration::rep>(us));
 }
 
-bool instance_watch::ProbeDue(instant now) {
-  if (!down_ || now < next_probe_) {
+bool instance_watch::ProbeDue(bool needed, instant now) {
+  if (!(down_ || needed) || now < next_probe_) {
     return false;
   }
   next_probe_ = now + kProbeInterval;
--- a/calls/instance_watch.h
+++ b/calls/instance_watch.h
@@ -32,10 +32,9 @@
   }
   // Returns true from a refused connection until the instance responds again.
   bool down() const { return down_; }
-  // Returns true if a health check is due, and schedules the next one.
-  bool ProbeDue(instant now);
-  // End of the warm-up that the instance last reported.
-  instant cold_until() const { return cold_until_; }
+  // Returns true if a health check is due, and schedules the next one. One is
+  // due at intervals while the instance is down or `needed` is set.
+  bool ProbeDue(bool needed, instant now);
 
  private:
   double mean_us_ = 0;
@@ -43,7 +42,6 @@
   double rejected_share_ = 0;  // moving average, 0 to 1
   bool down_ = false;
   instant next_probe_{};
-  instant cold_until_{};
 };
 
 }  // namespace parsleyyard
--- a/net/net.h
+++ b/net/net.h
@@ -314,7 +314,8 @@
 struct health_info {
   bool healthy = false;
   std::string instance;  // id; empty: not stated
-  duration cold_left{};  // remaining warm-up time; zero: warm
+  // Remaining warm-up time; zero: warm; empty: not stated.
+  std::optional<duration> cold_left;
 };
 
 // The header names and formats that callers, instances and health checks use.
--- a/tests/calls_test.cc
+++ b/tests/calls_test.cc
@@ -132,7 +132,8 @@
       << "the instance is down until it responds to a health check";
   target_->Tick();
   EXPECT_EQ(probes_, 1);
-  target_->OnUpstreamReport({.reachable = true, .healthy = true});
+  target_->OnUpstreamReport(
+      {.reachable = true, .healthy = true, .cold_left = duration::zero()});
   Call(4);
   EXPECT_EQ(started_.back(), 4u);
 }
--- a/tests/cold_test.cc
+++ b/tests/cold_test.cc
@@ -98,7 +98,8 @@
   }
   EXPECT_LE(started_.size(), 10u);
   EXPECT_EQ(probes_, 1);
-  target_->OnUpstreamReport({.reachable = true, .healthy = true});
+  target_->OnUpstreamReport(
+      {.reachable = true, .healthy = true, .cold_left = duration::zero()});
   const std::size_t before = started_.size();
   for (std::uint64_t i = 31; i <= 60; ++i) {
     Call(i);
@@ -107,6 +108,70 @@
       << "the instance reports that it is warm";
 }
 
+// ---------------------------------------------------------------------------
+// What is known of the warm-up
+// ---------------------------------------------------------------------------
+
+// Guards against a flood of an instance of which the daemon knows nothing yet.
+TEST_F(target_fixture, LimitsInstanceUntilItsRegistrationIsKnown) {
+  SetView({});
+  clock_.now += seconds(5);
+  for (int i = 0; i < 100; ++i) {
+    OfferCalls(50, milliseconds(20));
+    if (!started_.empty()) {
+      Complete(started_.back(), duration::zero());
+    }
+  }
+  EXPECT_LE(MaxInOneSecond(written_), 10u);
+  EXPECT_GE(written_.size(), 10u) << "callers are still served";
+  SetView({Instance("i", "10.0.0.1", "north-a", 100)});
+  const std::size_t before = written_.size();
+  OfferCalls(50, seconds(1));
+  EXPECT_GE(written_.size(), before + 50) << "the instance is warm";
+}
+
+// Guards against a flood after the rejection of a health check, which says
+// nothing of the warm-up.
+TEST_F(target_fixture, RejectedHealthCheckDoesNotEndWarmUp) {
+  const known_instance registered = Instance("i", "10.0.0.1", "north-a", 100);
+  SetView({registered});
+  clock_.now += seconds(5);
+  view_->evacuated.insert("north-a");
+  target_->Tick();
+  SetView({registered});
+  target_->Tick();
+  target_->OnUpstreamReport({.reachable = true});
+  OfferCalls(50, seconds(2));
+  EXPECT_LE(MaxInOneSecond(written_), 10u);
+  EXPECT_GE(probes_, 2) << "the health check is repeated";
+}
+
+// Guards against a flood of an instance that restarted while it was down.
+TEST_F(target_fixture, LimitsInstanceThatRespondsAgainWithoutItsState) {
+  SetView({Instance("i", "10.0.0.1", "north-a", 100)});
+  clock_.now += seconds(5);
+  Call(1);
+  target_->OnUpstreamDone({.origin = 9, .sequence = 1}, {});
+  target_->OnUpstreamReport({.reachable = true});
+  OfferCalls(50, seconds(2));
+  EXPECT_LE(MaxInOneSecond(written_), 10u);
+}
+
+// Guards against a flood if an evacuation ends before the configuration, and
+// with it the warm-up time, is known.
+TEST_F(target_fixture, LimitsInstanceAfterEvacuationWithoutConfiguration) {
+  SetView({Instance("i", "10.0.0.1", "north-a", 100)});
+  view_->config = nullptr;
+  clock_.now += seconds(5);
+  view_->evacuated.insert("north-a");
+  target_->Tick();
+  view_->evacuated.clear();
+  target_->Tick();
+  OfferCalls(50, seconds(2));
+  EXPECT_LE(MaxInOneSecond(written_), 1u);
+  EXPECT_GE(probes_, 1);
+}
+
 TEST(ColdPacer, UnwrittenRequestCountsUntilItIsWrittenOrDropped) {
   cold_pacer pacer(seconds(100));
   pacer.OnStarted(seconds(110));
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -177,6 +177,26 @@
   EXPECT_EQ(headers.size(), 3u);
 }
 
+TEST(PlatformDialect, RejectedHealthCheckStatesNoWarmUp) {
+  const dialect d;
+  EXPECT_EQ(d.ParseHealthResponse(
+                 {.status = 503,
+                  .headers = {{.name = "Not-Executed", .value = "full"}}})
+                .cold_left,
+            std::nullopt);
+  EXPECT_EQ(d.ParseHealthResponse(
+                 {.status = 200,
+                  .headers = {{.name = "Instance-Id", .value = "i-1"}}})
+                .cold_left,
+            duration::zero());
+  EXPECT_EQ(d.ParseHealthResponse(
+                 {.status = 200,
+                  .headers = {{.name = "Instance-Id", .value = "i-1"},
+                              {.name = "Warmup-Ms", .value = "250"}}})
+                .cold_left,
+            duration(milliseconds(250)));
+}
+
 TEST(PlatformDialect, WritesRetryAfterWithFractionsOfASecond) {
   http_response rejection;
   dialect().SetRetryAfter(rejection, milliseconds(250));
