Admit no call before registrations and evacuations are known

A daemon that had just started could start calls in an evacuated failure domain or at a draining instance: its first read brought registrations only, and before that read it admitted calls by an empty view, which it took for one in which nothing is evacuated or draining.

Change: the first read of a daemon brings evacuations as well (one small read call more per start), and a target that knows nothing of the store refuses calls (starting), so that their senders choose another instance.

target_fixture.RefusesCallsBeforeAnythingOfTheStoreIsKnown and Control.FirstReadShowsEvacuations failed before (46 views of 40 daemons).

--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -241,6 +241,9 @@
     return refusal_reason::kPaused;
   }
   const auto view = view_.Current();
+  if (view->empty()) {
+    return refusal_reason::kStarting;
+  }
   if (view->evacuated.contains(options_.failure_domain)) {
     return refusal_reason::kFailureDomainOut;
   }
--- a/control/control.h
+++ b/control/control.h
@@ -53,14 +53,15 @@
 };
 
 // Reads the store. Each call leads to exactly one OnFullRead(),
-// OnInstancesRead(), OnWatchResult() or OnSourceFailure() of the view keeper,
+// OnStateRead(), OnWatchResult() or OnSourceFailure() of the view keeper,
 // in bounded time.
 class config_source {
  public:
   virtual ~config_source() = default;
   virtual void ReadAll() = 0;
-  // Reads only the registrations of instances, which are small.
-  virtual void ReadInstances() = 0;
+  // Reads all but the configuration: the registrations and the evacuations,
+  // which are small.
+  virtual void ReadState() = 0;
   // Waits up to `wait` for changes after store revision `after`.
   virtual void Watch(std::uint64_t after, duration wait) = 0;
 };
@@ -70,7 +71,7 @@
  public:
   virtual ~source_listener() = default;
   virtual void OnFullRead(source_update update) = 0;
-  virtual void OnInstancesRead(source_update update) = 0;
+  virtual void OnStateRead(source_update update) = 0;
   virtual void OnWatchResult(source_update update) = 0;
   virtual void OnSourceFailure(source_failure why, std::string detail) = 0;
 };
@@ -215,7 +216,7 @@
 
   // Results of the source.
   void OnFullRead(source_update update);
-  void OnInstancesRead(source_update update);
+  void OnStateRead(source_update update);
   void OnWatchResult(source_update update);
   void OnSourceFailure(source_failure why);
 
@@ -299,7 +300,7 @@
   // Peers that requested updates, with the time of their last request.
   std::map<host_address, instant> subscribers_;
   bool needs_full_read_ = true;          // the next read must be a full one
-  bool instances_read_ = false;          // the registrations were read once
+  bool state_read_ = false;              // the first read is complete
   bool needs_catch_up_ = false;          // updates were missed; read at once
   bool failed_since_confirmed_ = false;  // a read failed after confirmed_at_
   instant config_changed_at_ = instant::min() / 2;
--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -266,8 +266,8 @@
   read_in_flight_ = true;
   read_started_at_ = now;
   ++reads_;
-  if (!instances_read_) {
-    return source_.ReadInstances();
+  if (!state_read_) {
+    return source_.ReadState();
   }
   const bool behind =
       needs_catch_up_ || Age(now) > options_.watch + options_.pause;
@@ -339,12 +339,13 @@
   }
 }
 
-// The first read of a process. It shows the peers, and whether this daemon is
-// one of those that read the whole store at the start of a large region.
-void view_keeper::OnInstancesRead(source_update update) {
+// The first read of a process. It shows the peers, whether this daemon is one
+// of those that read the whole store at the start of a large region, and all
+// that the call target must respect but the limits of the configuration.
+void view_keeper::OnStateRead(source_update update) {
   const instant now = clock_.Now();
   read_in_flight_ = false;
-  instances_read_ = true;
+  state_read_ = true;
   if (revision_ != 0) {
     return;
   }
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -432,9 +432,9 @@
   view_.SetConfirmedAt(control_.Status().confirmed_at);
 }
 
-void daemon_internals::OnInstancesRead(source_update update) {
+void daemon_internals::OnStateRead(source_update update) {
   const std::lock_guard lock(control_mutex_);
-  control_.OnInstancesRead(std::move(update));
+  control_.OnStateRead(std::move(update));
 }
 
 void daemon_internals::OnWatchResult(source_update update) {
--- a/daemon/daemon_internals.h
+++ b/daemon/daemon_internals.h
@@ -89,7 +89,7 @@
 
   // source_listener
   void OnFullRead(source_update update) override;
-  void OnInstancesRead(source_update update) override;
+  void OnStateRead(source_update update) override;
   void OnWatchResult(source_update update) override;
   void OnSourceFailure(source_failure reason, std::string detail) override;
 
--- a/model/model.h
+++ b/model/model.h
@@ -190,6 +190,8 @@
       by_service;                                // pointers into `instances`
   std::set<std::string, std::less<>> evacuated;  // failure domains
 
+  // Returns true if nothing of the store is known yet.
+  bool empty() const { return config == nullptr && instances.empty(); }
   // Returns the instance at that host and port with the newest revision, or
   // null if none is registered there.
   const known_instance* FindAt(const host_address& host,
--- a/tests/calls_test.cc
+++ b/tests/calls_test.cc
@@ -161,6 +161,15 @@
   EXPECT_EQ(answers_[3].reason, refusal_reason::kFailureDomainOut);
 }
 
+// Guards against calls to an evacuated or draining instance from a daemon that
+// has just started.
+TEST_F(target_fixture, RefusesCallsBeforeAnythingOfTheStoreIsKnown) {
+  view_ = std::make_shared<snapshot>();
+  Call(1);
+  EXPECT_EQ(answers_[1].reason, refusal_reason::kStarting);
+  EXPECT_TRUE(started_.empty());
+}
+
 TEST_F(target_fixture, RefusesCallsForDrainingInstance) {
   known_instance draining = Instance("i", "10.0.0.1", "north-a");
   draining.registration.draining = true;
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -84,7 +84,7 @@
                                public view_transport,
                                public view_listener {
   void ReadAll() override {}
-  void ReadInstances() override {}
+  void ReadState() override {}
   void Watch(std::uint64_t, duration) override {}
   void SendUpdate(const host_address&, const view_update& m) override {
     sent.push_back(m);
@@ -95,6 +95,31 @@
   std::vector<view_update> sent;
 };
 
+// Guards against calls into an evacuated failure domain between the first read
+// of a daemon and its configuration.
+TEST(Control, FirstReadShowsEvacuations) {
+  constexpr int kLargeFleet = 40;
+  view_world world(kLargeFleet);
+  world.Run(seconds(5));
+  world.Evacuate(1, true);
+  world.Run(seconds(1));
+  for (int i = 0; i < kLargeFleet; ++i) {
+    world.Kill(i);
+    world.Start(i);
+  }
+  bool seen_without_configuration = false;
+  for (int step = 0; step < 100; ++step) {
+    world.Run(milliseconds(10));
+    for (int i = 0; i < kLargeFleet; ++i) {
+      const snapshot& view = world.View(i);
+      seen_without_configuration |=
+          view.config == nullptr && !view.instances.empty();
+      EXPECT_TRUE(view.empty() || view.evacuated.contains("domain-1"));
+    }
+  }
+  EXPECT_TRUE(seen_without_configuration);
+}
+
 TEST(Control, RestartedDaemonReceivesFullViewFromPeerDuringStoreOutage) {
   manual_clock clock;
   text_decoder decoder;
--- /dev/null
+++ b/tests/store_test.cc
@@ -0,0 +1,64 @@
+// The client of the platform's store against an HTTP server on loopback.
+
+#include "platform/platform.h"
+#include "tests/net_fixtures.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+
+namespace parsleyyard {
+namespace {
+
+constexpr std::uint16_t kStorePort = 18487;
+
+// Responds to each range read with one item, whose key is the prefix and "x".
+class one_item_store : public http_handler {
+ public:
+  std::optional<http_response> OnHead(const http_request& /*head*/) override {
+    return std::nullopt;
+  }
+  std::function<void()> OnRequest(http_request request,
+                                  response_callback reply) override {
+    const bool evacuations =
+        request.target.find("prefix=op%2Fevacuate%2F") != std::string::npos;
+    const std::string key = evacuations ? "op/evacuate/x" : "servers/x";
+    reply({.body = R"({"items":[{"key":")" + key +
+                   R"(","rev":3,"value":""}],"has-more":false,"as-of":)" +
+                   (evacuations ? "9" : "8") + "}"});
+    return nullptr;
+  }
+};
+
+class state_listener : public source_listener {
+ public:
+  void OnFullRead(source_update /*update*/) override {}
+  void OnStateRead(source_update update) override {
+    state.set_value(std::move(update));
+  }
+  void OnWatchResult(source_update /*update*/) override {}
+  void OnSourceFailure(source_failure /*why*/,
+                       std::string /*detail*/) override {}
+
+  std::promise<source_update> state;
+};
+
+TEST(StoreClient, StateReadBringsRegistrationsAndEvacuations) {
+  worker_threads workers;
+  one_item_store store;
+  http_server server(workers.context, {.address = kHost, .port = kStorePort},
+                     store);
+  ASSERT_TRUE(server.Listen());
+  state_listener listener;
+  platform::store_client client(
+      workers.context, {.address = kHost, .port = kStorePort}, listener);
+  client.ReadState();
+  const source_update update = listener.state.get_future().get();
+  ASSERT_EQ(update.items.size(), 2u);
+  EXPECT_EQ(update.items[0].key, "servers/x");
+  EXPECT_EQ(update.items[1].key, "op/evacuate/x");
+  EXPECT_EQ(update.as_of, 8u) << "the revision of the older page";
+}
+
+}  // namespace
+}  // namespace parsleyyard
--- a/tests/view_world.cc
+++ b/tests/view_world.cc
@@ -143,14 +143,14 @@
     SendRequest([this] { keeper->OnFullRead(world.store_.AllItems()); });
   }
 
-  void ReadInstances() override {
+  void ReadState() override {
     ++world.reads_;
     SendRequest([this] {
       source_update update = world.store_.AllItems();
       std::erase_if(update.items, [](const source_item& item) {
-        return !item.key.starts_with("i/");
+        return item.key == "config";
       });
-      keeper->OnInstancesRead(std::move(update));
+      keeper->OnStateRead(std::move(update));
     });
   }
 
