Bound chunk headers and trailers of a request without end

The same gap as on the side of the instances: a caller could fill the memory of its entry daemon with one chunk header or trailer until the idle timeout. The server now uses the same limits; reading a body within them is one function for server and client (net/read_body.h).

--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -1,7 +1,7 @@
 // HTTP client: keep-alive connections to one server.
 
-#include "net/body_buffer.h"
 #include "net/net.h"
+#include "net/read_body.h"
 #include "net/socket_peek.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -34,7 +34,6 @@
   bool aborted = false;
 };
 using connection_ptr = std::shared_ptr<connection>;
-using response_parser = http::response_parser<http::string_body>;
 
 // A request that is written while the client already reads the response: a
 // server may respond before it has read a long body.
@@ -43,8 +42,6 @@
   bool written = false;  // the whole request was written without an error
 };
 
-// A chunked body may take up this many times its limit on the wire.
-constexpr std::size_t kMaxBodyOverheadFactor = 2;
 // Percentage of the server's keep-alive timeout for which an idle connection
 // may be reused. The margin keeps a request from crossing the server's close.
 constexpr int kReusePercent = 60;
@@ -89,8 +86,6 @@
   asio::awaitable<bool> Connect(connection& conn);
   asio::awaitable<bool> Send(connection_ptr conn,
                              std::shared_ptr<outgoing_request> outgoing);
-  asio::awaitable<beast::error_code> ReceiveBody(connection& conn,
-                                                 response_parser& parser);
   asio::awaitable<bool> Receive(connection& conn,
                                 bool head_only,
                                 const exchange_options& options,
@@ -160,28 +155,6 @@
   co_return true;
 }
 
-// Reads the rest of a response. Fails if the framing of a chunked body takes
-// far more bytes than a body may have.
-asio::awaitable<beast::error_code> http_client_internals::ReceiveBody(
-    connection& conn,
-    response_parser& parser) {
-  ReserveBodyBuffer(conn.buffer, parser.content_length());
-  beast::error_code result;
-  std::size_t received = 0;
-  while (!result && !parser.is_done()) {
-    auto [error, size] = co_await http::async_read_some(
-        conn.stream, conn.buffer, parser, kNothrowAwaitable);
-    result = error;
-    received += size;
-    if (!result &&
-        received > kMaxBodyOverheadFactor * options_.max_body_bytes) {
-      result = http::error::body_limit;
-    }
-  }
-  ReleaseBodyBuffer(conn.buffer);
-  co_return result;
-}
-
 // Reads responses until one matches the request. True if the connection may be
 // reused.
 asio::awaitable<bool> http_client_internals::Receive(
@@ -191,13 +164,14 @@
     http_exchange& exchange) {
   constexpr int kMaxSkipped = 3;  // informational and late responses
   for (int skipped = 0; skipped <= kMaxSkipped; ++skipped) {
-    response_parser parser;
+    http::response_parser<http::string_body> parser;
     parser.body_limit(options_.max_body_bytes);
     parser.skip(head_only);
     auto [error, head_size] = co_await http::async_read_header(
         conn.stream, conn.buffer, parser, kNothrowAwaitable);
     if (!error && !parser.is_done()) {
-      error = co_await ReceiveBody(conn, parser);
+      error = co_await ReadBody(conn.stream, conn.buffer, parser,
+                                options_.max_body_bytes);
     }
     if (error) {
       exchange.timed_out = error == beast::error::timeout;
--- a/net/http_server_internals.h
+++ b/net/http_server_internals.h
@@ -87,7 +87,7 @@
   asio::awaitable<bool> ServeRequest();
   void StartTimeout(duration limit);
   void CancelTimeout();
-  asio::awaitable<bool> ReadBody(request_parser& parser);
+  asio::awaitable<bool> ReadRequestBody(request_parser& parser);
   asio::awaitable<bool> Write(http_response response,
                               unsigned version,
                               bool keep_alive,
--- a/net/http_session.cc
+++ b/net/http_session.cc
@@ -1,7 +1,7 @@
 // One connection of the HTTP server. Serves its requests one at a time.
 
-#include "net/body_buffer.h"
 #include "net/http_server_internals.h"
+#include "net/read_body.h"
 #include "net/socket_peek.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -149,6 +149,7 @@
     co_return false;
   }
   limits_ = options.limits();
+  buffer_.max_size(std::max(kMaxBufferedBytes, limits_.max_header_bytes));
   request_parser parser;
   parser.header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
   parser.body_limit(limits_.max_body_bytes);
@@ -180,7 +181,7 @@
     rejection->close = true;
     co_return co_await Write(std::move(*rejection), version, false, head_only);
   }
-  if (!co_await ReadBody(parser)) {
+  if (!co_await ReadRequestBody(parser)) {
     co_return false;
   }
   // A caller may have closed the connection while this process was paused. Its
@@ -202,7 +203,7 @@
 
 // False if the body did not arrive whole. A response has been sent then, unless
 // the caller closed the connection.
-asio::awaitable<bool> http_session::ReadBody(request_parser& parser) {
+asio::awaitable<bool> http_session::ReadRequestBody(request_parser& parser) {
   if (parser.is_done()) {
     co_return true;
   }
@@ -216,10 +217,8 @@
     }
   }
   StartTimeout(limits_.idle_timeout);
-  ReserveBodyBuffer(buffer_, parser.content_length());
-  auto [error, size] =
-      co_await http::async_read(stream_, buffer_, parser, kNothrowAwaitable);
-  ReleaseBodyBuffer(buffer_);
+  const beast::error_code error =
+      co_await ReadBody(stream_, buffer_, parser, limits_.max_body_bytes);
   if (error && timed_out_) {
     co_await Write(BuildNotRunResponse(408, kRequestTimeoutText),
                    parser.get().version(), false, false);
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -24,6 +24,31 @@
 
 constexpr std::uint16_t kHttpPort = 18480;
 
+// A message that never ends: `repeated` follows `start` until the receiver
+// closes the connection.
+struct endless_message {
+  std::string start;
+  std::string repeated;
+};
+
+// Sends `message` until the receiver closes the connection, or until `limit`
+// bytes were sent. Returns the number of bytes sent.
+std::size_t SendEndlessly(tcp::socket& socket,
+                          const endless_message& message,
+                          std::size_t limit) {
+  constexpr std::size_t kBlockBytes = std::size_t{64} << 10;
+  std::string block;
+  while (block.size() < kBlockBytes) {
+    block += message.repeated;
+  }
+  boost::system::error_code error;
+  std::size_t sent = asio::write(socket, asio::buffer(message.start), error);
+  while (!error && sent < limit) {
+    sent += asio::write(socket, asio::buffer(block), error);
+  }
+  return sent;
+}
+
 // Responds to each request with the length of its body, asynchronously.
 class body_size_handler : public http_handler {
  public:
@@ -166,6 +191,27 @@
 
 // The body arrives in a second segment. The event that reports it may reach the
 // server late, when it has read the body and watches the socket for a close.
+// Guards against memory without bound for a caller that sends bytes without
+// end.
+TEST_F(http_fixture, ClosesConnectionOnRequestWithoutEnd) {
+  // More than the limits of the server and all socket buffers hold.
+  constexpr std::size_t kTooManyBytes = std::size_t{32} << 20;
+  const std::string chunked =
+      "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+  const std::vector<endless_message> requests = {
+      {"", "bytes that are no request"}, {"GET / HTTP/1.1\r\n", "x: y\r\n"},
+      {chunked, "4\r\nbody\r\n"},        {chunked, "0"},
+      {chunked + "1;", "extension"},     {chunked + "0\r\n", "x: y\r\n"},
+  };
+  for (const endless_message& request : requests) {
+    asio::io_context context;
+    tcp::socket socket = Connect(context);
+    EXPECT_LT(SendEndlessly(socket, request, kTooManyBytes), kTooManyBytes)
+        << request.start << " ... " << request.repeated;
+  }
+  EXPECT_EQ(handler_.requests, 0);
+}
+
 TEST_F(http_fixture, LateBodyIsNotMistakenForAClosedConnection) {
   asio::io_context context;
   tcp::socket socket = Connect(context);
@@ -435,18 +481,11 @@
   }
 }
 
-// Response that never ends: `repeated` follows `start` until the client closes
-// the connection.
-struct endless_response {
-  std::string start;
-  std::string repeated;
-};
-
-const std::vector<endless_response>& EndlessResponses() {
+const std::vector<endless_message>& EndlessResponses() {
   static const std::string kOk = "HTTP/1.1 200 OK\r\n";
   static const std::string kChunked =
       kOk + "transfer-encoding: chunked\r\n\r\n";
-  static const std::vector<endless_response> kResponses = {
+  static const std::vector<endless_message> kResponses = {
       {"", "bytes that are no response"},
       {"", "\r\n"},
       {kOk, "x: y\r\n"},
@@ -465,24 +504,6 @@
   return kResponses;
 }
 
-// Sends `response` until the client closes the connection, or until `limit`
-// bytes were sent. Returns the number of bytes sent.
-std::size_t SendEndlessly(tcp::socket& socket,
-                          const endless_response& response,
-                          std::size_t limit) {
-  constexpr std::size_t kBlockBytes = std::size_t{64} << 10;
-  std::string block;
-  while (block.size() < kBlockBytes) {
-    block += response.repeated;
-  }
-  boost::system::error_code error;
-  std::size_t sent = asio::write(socket, asio::buffer(response.start), error);
-  while (!error && sent < limit) {
-    sent += asio::write(socket, asio::buffer(block), error);
-  }
-  return sent;
-}
-
 // Guards against memory and time without bound for an instance that sends
 // bytes without end.
 TEST(HttpClient, ClosesConnectionOnResponseWithoutEnd) {
@@ -490,7 +511,7 @@
   constexpr std::size_t kTooManyBytes = std::size_t{32} << 20;
   // Far more than reading up to the limits takes.
   constexpr duration kTimeout = seconds(300);
-  for (const endless_response& response : EndlessResponses()) {
+  for (const endless_message& response : EndlessResponses()) {
     worker_threads pool;
     std::size_t sent_by_server = 0;
     http_exchange exchange;
