Limit answers of instances to what fits into a message

An answer of 12 to 16 MB ended the daemon beside the instance: it fits the limit of the HTTP client and not that of a message to another daemon, so that Encode() threw, and nothing catches that on a worker thread.

Change: the client of the instance takes bodies up to the limit of the message. A longer answer ends the call as unknown.

UpstreamRunner.AnswerBeyondMessageLimitIsNotComplete failed before (13 MB were complete).

--- a/daemon/upstream_runner.cc
+++ b/daemon/upstream_runner.cc
@@ -15,6 +15,12 @@
 constexpr std::size_t kMaxHeaderNameBytes = 256;
 constexpr std::size_t kMaxHeaderValueBytes = 8192;
 constexpr std::size_t kMaxHeaders = 100;
+constexpr std::size_t kMaxBodyBytes = 12'000'000;
+
+http_client_options WithinMessageLimits(http_client_options options) {
+  options.max_body_bytes = std::min(options.max_body_bytes, kMaxBodyBytes);
+  return options;
+}
 
 bool FitsCallAnswer(const std::vector<call_header>& headers) {
   const bool each_fits = std::all_of(
@@ -43,6 +49,11 @@
 
 }  // namespace
 
+upstream_runner::upstream_runner(asio::io_context& context,
+                                 const http_client_options& options,
+                                 const http_dialect& dialect)
+    : dialect_(dialect), client_(context, WithinMessageLimits(options)) {}
+
 void upstream_runner::SetCallbacks(write_function on_write,
                                    result_function on_result,
                                    health_report_function on_health_report,
--- a/daemon/upstream_runner.h
+++ b/daemon/upstream_runner.h
@@ -22,8 +22,7 @@
 
   upstream_runner(asio::io_context& context,
                   const http_client_options& options,
-                  const http_dialect& dialect)
-      : dialect_(dialect), client_(context, options) {}
+                  const http_dialect& dialect);
 
   // Call this before the first Run() or Probe(). The callbacks run on threads
   // of the io_context.
--- a/net/read_body.h
+++ b/net/read_body.h
@@ -22,10 +22,9 @@
 // chunk header or a trailer of any size.
 inline constexpr std::size_t kMaxBufferedBytes = std::size_t{128} * 1024;
 
-// Makes room for a body. Without it Beast reads
-// 512 bytes at a time into a buffer that has just grown for a head, which is
-// 128 system calls for a body of 64 KB. `length` is the content length, if
-// stated.
+// Makes room for a body. Without it Beast reads 512 bytes at a time into a
+// buffer that has just grown for a head, which is 128 system calls for a body
+// of 64 KB. `length` is the content length, if stated.
 inline void ReserveBodyBuffer(boost::beast::flat_buffer& buffer,
                               const boost::optional<std::uint64_t>& length) {
   constexpr std::uint64_t kMaxReservedBytes = std::uint64_t{64} * 1024;
