Limit the bytes of all answers that are being received

Twelve answers without end, each within the limit of one body, could take more memory than a daemon has (160 MB on small hosts).

Change: the HTTP client has a budget of 32 MB for the bodies that it receives at a time; a response beyond it fails, and its call ends as unknown.

HttpClient.BodiesBeyondTheirCommonBudgetAreNotRead failed before (both bodies were kept until the timeout of 60 s).

--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -72,7 +72,9 @@
     : public std::enable_shared_from_this<http_client_internals> {
  public:
   http_client_internals(asio::io_context& context, http_client_options options)
-      : context_(context), options_(std::move(options)) {}
+      : context_(context),
+        options_(std::move(options)),
+        body_budget_(options_.max_receiving_bytes) {}
 
   std::function<void()> Request(http_request request,
                                 exchange_options options,
@@ -95,6 +97,7 @@
 
   asio::io_context& context_;
   const http_client_options options_;
+  byte_budget body_budget_;
   const monotonic_clock clock_;
   std::mutex mutex_;  // guards idle_; last in the lock order
   std::vector<connection_ptr> idle_;
@@ -171,7 +174,7 @@
         conn.stream, conn.buffer, parser, kNothrowAwaitable);
     if (!error && !parser.is_done()) {
       error = co_await ReadBody(conn.stream, conn.buffer, parser,
-                                options_.max_body_bytes);
+                                options_.max_body_bytes, &body_budget_);
     }
     if (error) {
       exchange.timed_out = error == beast::error::timeout;
--- a/net/http_session.cc
+++ b/net/http_session.cc
@@ -217,8 +217,8 @@
     }
   }
   StartTimeout(limits_.idle_timeout);
-  const beast::error_code error =
-      co_await ReadBody(stream_, buffer_, parser, limits_.max_body_bytes);
+  const beast::error_code error = co_await ReadBody(
+      stream_, buffer_, parser, limits_.max_body_bytes, nullptr);
   if (error && timed_out_) {
     co_await Write(BuildNotRunResponse(408, kRequestTimeoutText),
                    parser.get().version(), false, false);
--- a/net/net.h
+++ b/net/net.h
@@ -251,6 +251,8 @@
   host_address address;
   std::uint16_t port = 0;
   std::size_t max_body_bytes = 16 << 20;  // size of a response body
+  // Bytes of all bodies that are being received; a response beyond them fails.
+  std::size_t max_receiving_bytes = 32 << 20;
   std::size_t max_idle_connections = 64;  // connections kept for reuse
   // Time for which an idle connection may be reused if the server's response
   // has no keep-alive field with a timeout.
--- a/net/read_body.h
+++ b/net/read_body.h
@@ -13,6 +13,7 @@
 #include <boost/optional.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <cstdint>
 
 namespace parsleyyard {
@@ -41,15 +42,30 @@
   }
 }
 
+// Limits the bytes of all bodies that are being read. Thread-safe.
+class byte_budget {
+ public:
+  explicit byte_budget(std::size_t limit) : limit_(limit) {}
+  // Returns false if the budget is used up. Return the bytes all the same.
+  bool Take(std::size_t bytes) { return (used_ += bytes) <= limit_; }
+  void Return(std::size_t bytes) { used_ -= bytes; }
+
+ private:
+  const std::size_t limit_;
+  std::atomic<std::size_t> used_{0};
+};
+
 // Reads the rest of a message, whose head is in `parser`. Fails with
 // http::error::body_limit if the framing of a chunked body takes as many bytes
-// as the largest body, whose size is `max_body_bytes`.
+// as the largest body, whose size is `max_body_bytes`, or if `budget` is used
+// up; null: no budget.
 template <class Parser>
 boost::asio::awaitable<boost::beast::error_code> ReadBody(
     boost::beast::tcp_stream& stream,
     boost::beast::flat_buffer& buffer,
     Parser& parser,
-    std::size_t max_body_bytes) {
+    std::size_t max_body_bytes,
+    byte_budget* budget) {
   namespace http = boost::beast::http;
   namespace asio = boost::asio;
   ReserveBodyBuffer(buffer, parser.content_length());
@@ -61,10 +77,14 @@
         stream, buffer, parser, asio::as_tuple(asio::use_awaitable));
     result = error;
     received += size;
-    if (!result && received > max_received) {
+    const bool within_budget = budget == nullptr || budget->Take(size);
+    if (!result && (received > max_received || !within_budget)) {
       result = http::error::body_limit;
     }
   }
+  if (budget != nullptr) {
+    budget->Return(received);
+  }
   ReleaseBodyBuffer(buffer);
   co_return result;
 }
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -531,6 +531,47 @@
   }
 }
 
+// Guards against memory without bound for an instance that sends several long
+// bodies at once.
+TEST(HttpClient, BodiesBeyondTheirCommonBudgetAreNotRead) {
+  constexpr std::size_t kBodyBytes = std::size_t{2} << 20;
+  worker_threads pool;
+  http_client client(pool.context, {.address = kHost,
+                                    .port = scripted_server::kPort,
+                                    .max_receiving_bytes = 3 * kBodyBytes / 2});
+  asio::io_context context;
+  tcp::acceptor acceptor(
+      context, {asio::ip::make_address_v4(kHost), scripted_server::kPort});
+  std::vector<std::promise<http_exchange>> done(2);
+  std::vector<tcp::socket> sockets;
+  const std::string head =
+      "HTTP/1.1 200 OK\r\ncontent-length: " + std::to_string(kBodyBytes) +
+      "\r\n\r\n";
+  for (std::promise<http_exchange>& result : done) {
+    client.Request({.method = "GET", .target = "/"}, {.timeout = seconds(60)},
+                   [&](http_exchange e) { result.set_value(std::move(e)); });
+    sockets.push_back(acceptor.accept());
+    ReadHead(sockets.back());
+    WriteText(sockets.back(), head + std::string(kBodyBytes - 1, 'b'));
+  }
+  // Both bodies exceed the budget, so the client closes a connection.
+  std::array<char, 2> closed{};
+  for (std::size_t i = 0; i < sockets.size(); ++i) {
+    sockets[i].async_read_some(
+        asio::buffer(&closed[i], 1),
+        [](const boost::system::error_code&, std::size_t) {});
+  }
+  context.run_one();
+  int complete = 0;
+  for (std::size_t i = 0; i < sockets.size(); ++i) {
+    WriteText(sockets[i], "b");
+    const http_exchange exchange = done[i].get_future().get();
+    complete += exchange.complete ? 1 : 0;
+    EXPECT_FALSE(exchange.timed_out);
+  }
+  EXPECT_LE(complete, 1);
+}
+
 // The server responds before it has read a long body, and reads the body later.
 // The client must close the connection, since the body is not fully written.
 TEST(HttpClient, AcceptsEarlyResponseAndClosesConnection) {
