Repeat the checks of a start when the request is written

Besides, a request whose deadline had passed before it was written counted as a refused connection, and its instance as down until the next health check.

Change: the target decides at the write whether the request may still be written, by the same checks as at the start. A withheld request has not run, keeps its reason (refused before it was sent) and says nothing of the instance.

target_fixture.WithholdsRequestIfFailureDomainWasEvacuated, WithholdsRequestAfterPause and WithheldRequestDoesNotMakeInstanceDown fail without the checks (seen with them switched off; before, the function had no result).

--- a/calls/call_table.h
+++ b/calls/call_table.h
@@ -25,6 +25,8 @@
   std::shared_ptr<const call_answer> answer;  // null until ended, or if dropped
   instant started_at{};                       // start of the run
   bool written = false;  // the request was written to the instance
+  // Why the request was not written after the call was started.
+  refusal_reason withheld_for = refusal_reason::kNone;
   instant deadline{};
   instant objective{};
   instant expiry{};  // an ended or fenced entry is removed at this time
--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -77,7 +77,7 @@
               std::shared_ptr<const call_request> message);
   void OnAttach(const host_address& from, const call_attach& message);
   void OnCancel(const call_cancel& message);
-  void OnUpstreamWrite(const call_id& id);
+  bool OnUpstreamWrite(const call_id& id);
   void OnUpstreamDone(const call_id& id, upstream_result result);
   void OnUpstreamReport(const upstream_report& report);
   void BeginDrain() { draining_ = true; }
@@ -89,6 +89,7 @@
  private:
   refusal_reason FindRefusal(const call_request& message, instant now) const;
   refusal_reason FindInstanceRefusal(const call_request& message) const;
+  refusal_reason FindStartRefusal(const table_entry& call, instant now) const;
   void UpdateFromView(instant now);
   instant WarmAtTheLatest(instant now) const;
   void ReportColdLimit(instant now);
@@ -382,12 +383,18 @@
          options_.limit_admission;
 }
 
+refusal_reason target_internals::FindStartRefusal(const table_entry& call,
+                                                  instant now) const {
+  const refusal_reason refusal = FindRefusal(*call.message, now);
+  const bool past_deadline = now + kMinRunTime >= call.deadline;
+  return refusal == refusal_reason::kNone && past_deadline
+             ? refusal_reason::kDeadlinePassed
+             : refusal;
+}
+
 void target_internals::StartOrRefuse(const waiting_call& next, instant now) {
   table_entry& call = *table_.Find(next.id);
-  refusal_reason refusal = FindRefusal(*call.message, now);
-  if (refusal == refusal_reason::kNone && now + kMinRunTime >= call.deadline) {
-    refusal = refusal_reason::kDeadlinePassed;
-  }
+  refusal_reason refusal = FindStartRefusal(call, now);
   if (refusal == refusal_reason::kNone && IsTooLate(next, now)) {
     refusal = refusal_reason::kOverloaded;
   }
@@ -418,19 +425,29 @@
   link_.SendAnswer(from, shared_answer);
 }
 
-void target_internals::OnUpstreamWrite(const call_id& id) {
+// Repeats the checks of the start: since then the process may have been paused,
+// or may have waited for a connection or for its share of the processor.
+bool target_internals::OnUpstreamWrite(const call_id& id) {
   const instant now = clock_.Now();
   table_entry* call = table_.Find(id);
   if (call == nullptr || call->state != attempt_state::kRunning ||
-      std::exchange(call->written, true)) {
-    return;
+      call->written) {
+    return false;
   }
+  pause_guard_.Observe(now);
+  UpdateFromView(now);
+  call->withheld_for = FindStartRefusal(*call, now);
+  if (call->withheld_for != refusal_reason::kNone) {
+    return false;
+  }
+  call->written = true;
   pacer_.OnWritten(now);
   if (warm_up_.IsCold(now)) {
     listener_.OnColdRequest({.request = call->message->request_id,
                              .instance = call->message->instance,
                              .since_start = now - call->started_at});
   }
+  return true;
 }
 
 void target_internals::OnUpstreamDone(const call_id& id,
@@ -442,15 +459,21 @@
   }
   --running_;
   if (!call->written) {
-    result.sent ? pacer_.OnWritten(now) : pacer_.OnDropped();
+    pacer_.OnDropped();
+  }
+  const bool withheld = call->withheld_for != refusal_reason::kNone;
+  if (!withheld) {
+    watch_.OnDone(result, call->message->route, now - call->started_at, now);
   }
-  watch_.OnDone(result, call->message->route, now - call->started_at, now);
   call_answer answer{.id = id,
                      .outcome = call_outcome::kUnknown,
                      .reason = result.timed_out ? refusal_reason::kTimeout
                                                 : refusal_reason::kUpstreamLost,
                      .reached_instance = result.sent};
-  if (!result.sent || result.not_run) {
+  if (withheld) {
+    answer.outcome = call_outcome::kNotRun;
+    answer.reason = call->withheld_for;
+  } else if (!result.sent || result.not_run) {
     answer.outcome = call_outcome::kNotRun;
     answer.reason = result.wrong_instance ? refusal_reason::kWrongInstance
                                           : refusal_reason::kUpstreamRefused;
@@ -462,7 +485,10 @@
     answer.body = std::move(result.body);
   }
   if (answer.outcome != call_outcome::kAnswer) {
-    ReportEvent(*call->message, "no response from instance", answer.reason);
+    ReportEvent(
+        *call->message,
+        withheld ? "refused before it was sent" : "no response from instance",
+        answer.reason);
   }
   EndAttempt(id, std::move(answer));
   StartWaitingCalls();
@@ -566,8 +592,8 @@
 void call_target::OnCancel(const call_cancel& message) {
   internals_->OnCancel(message);
 }
-void call_target::OnUpstreamWrite(const call_id& id) {
-  internals_->OnUpstreamWrite(id);
+bool call_target::OnUpstreamWrite(const call_id& id) {
+  return internals_->OnUpstreamWrite(id);
 }
 void call_target::OnUpstreamDone(const call_id& id, upstream_result result) {
   internals_->OnUpstreamDone(id, std::move(result));
--- a/calls/calls.h
+++ b/calls/calls.h
@@ -326,9 +326,10 @@
               std::shared_ptr<const call_request> message);
   void OnAttach(const host_address& from, const call_attach& message);
   void OnCancel(const call_cancel& message);
-  // The request of a started call is about to be written to the instance. If
-  // this is never called, the request counts as written when the call ends.
-  void OnUpstreamWrite(const call_id& id);
+  // Call this when the request of a started call is about to be written to the
+  // instance, which can be long after its start. Write it only if this returns
+  // true; otherwise end the call with `sent` unset.
+  bool OnUpstreamWrite(const call_id& id);
   void OnUpstreamDone(const call_id& id, upstream_result result);
   void OnUpstreamReport(const upstream_report& report);
   // Advertises in each load report that the daemon drains. New calls are still
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -181,7 +181,7 @@
   upstream_.SetCallbacks(
       [this](const call_id& id) {
         const std::lock_guard lock(target_mutex_);
-        target_.OnUpstreamWrite(id);
+        return target_.OnUpstreamWrite(id);
       },
       [this](const call_id& id, upstream_result result) {
         const std::lock_guard lock(target_mutex_);
--- a/daemon/upstream_runner.cc
+++ b/daemon/upstream_runner.cc
@@ -54,11 +54,11 @@
                                  const http_dialect& dialect)
     : dialect_(dialect), client_(context, WithinMessageLimits(options)) {}
 
-void upstream_runner::SetCallbacks(write_function on_write,
+void upstream_runner::SetCallbacks(write_function may_write,
                                    result_function on_result,
                                    health_report_function on_health_report,
                                    health_path_function health_path) {
-  on_write_ = std::move(on_write);
+  may_write_ = std::move(may_write);
   on_result_ = std::move(on_result);
   on_health_report_ = std::move(on_health_report);
   health_path_ = std::move(health_path);
@@ -90,14 +90,7 @@
            request_id = message->request_id](const http_response& response) {
             return dialect_.MatchesRequest(response, request_id);
           },
-      .may_send =
-          [this, id, end = clock_.Now() + time_left] {
-            const bool in_time = clock_.Now() < end;
-            if (in_time) {
-              on_write_(id);
-            }
-            return in_time;
-          }};
+      .may_send = [this, id] { return may_write_(id); }};
   const std::lock_guard lock(mutex_);
   running_[{id.origin, id.sequence}] = client_.Request(
       std::move(request), std::move(options),
--- a/daemon/upstream_runner.h
+++ b/daemon/upstream_runner.h
@@ -16,7 +16,7 @@
 class upstream_runner : public upstream_port {
  public:
   using result_function = std::function<void(const call_id&, upstream_result)>;
-  using write_function = std::function<void(const call_id&)>;
+  using write_function = std::function<bool(const call_id&)>;
   using health_report_function = std::function<void(const upstream_report&)>;
   using health_path_function = std::function<std::string()>;
 
@@ -26,8 +26,9 @@
 
   // Call this before the first Run() or Probe(). The callbacks run on threads
   // of the io_context.
-  // `on_write` is called before the request of a call is written.
-  void SetCallbacks(write_function on_write,
+  // `may_write` is called before the request of a call is written. If it
+  // returns false, the request is not written and the call ends.
+  void SetCallbacks(write_function may_write,
                     result_function on_result,
                     health_report_function on_health_report,
                     health_path_function health_path);
@@ -45,7 +46,7 @@
   const http_dialect& dialect_;
   const monotonic_clock clock_;
   http_client client_;
-  write_function on_write_;
+  write_function may_write_;
   result_function on_result_;
   health_report_function on_health_report_;
   health_path_function health_path_;
--- a/tests/call_fixtures.h
+++ b/tests/call_fixtures.h
@@ -124,10 +124,13 @@
     answers_[message->id.sequence] = *message;
   }
 
-  // Writes the request of a started call to the instance.
+  // Writes the request of a started call to the instance, if it may be written.
   void Write(const call_id& id) {
-    written_.push_back(clock_.now);
-    target_->OnUpstreamWrite(id);
+    if (target_->OnUpstreamWrite(id)) {
+      written_.push_back(clock_.now);
+    } else {
+      target_->OnUpstreamDone(id, {});
+    }
   }
   void WriteHeldRequests() {
     for (const call_id& id : std::exchange(held_writes_, {})) {
--- a/tests/calls_test.cc
+++ b/tests/calls_test.cc
@@ -211,6 +211,50 @@
   EXPECT_EQ(started_, std::vector<std::uint64_t>{2});
 }
 
+// Guards against requests of calls that were started before an evacuation and
+// are written after it.
+TEST_F(target_fixture, WithholdsRequestIfFailureDomainWasEvacuated) {
+  hold_writes_ = true;
+  Call(1);
+  view_->evacuated.insert("north-a");
+  WriteHeldRequests();
+  EXPECT_EQ(answers_[1].reason, refusal_reason::kFailureDomainOut);
+  EXPECT_EQ(answers_[1].outcome, call_outcome::kNotRun);
+  EXPECT_TRUE(written_.empty());
+}
+
+// Guards against requests of calls that were started before a pause of the
+// process and are written after it, by a view that is out of date.
+TEST_F(target_fixture, WithholdsRequestAfterPause) {
+  confirmed_at_ = clock_.now;
+  target_->Tick();
+  hold_writes_ = true;
+  call_request patient = Message(1);
+  patient.deadline_ms = 10000;
+  Send(patient);
+  clock_.now += seconds(5);
+  WriteHeldRequests();
+  EXPECT_EQ(answers_[1].reason, refusal_reason::kPaused);
+  EXPECT_EQ(answers_[1].outcome, call_outcome::kNotRun);
+  EXPECT_TRUE(written_.empty());
+}
+
+// Guards against an instance that is taken for down because a request was too
+// late to be written.
+TEST_F(target_fixture, WithheldRequestDoesNotMakeInstanceDown) {
+  hold_writes_ = true;
+  Call(1);
+  for (int i = 0; i < 60; ++i) {
+    clock_.now += milliseconds(20);
+    target_->Tick();
+  }
+  WriteHeldRequests();
+  EXPECT_EQ(answers_[1].reason, refusal_reason::kDeadlinePassed);
+  hold_writes_ = false;
+  Call(2);
+  EXPECT_EQ(written_.size(), 1u);
+}
+
 TEST_F(target_fixture, ServesAfterPauseIfStoreStaysUnavailable) {
   confirmed_at_ = clock_.now;
   target_->Tick();
--- a/tests/upstream_runner_test.cc
+++ b/tests/upstream_runner_test.cc
@@ -41,7 +41,7 @@
   upstream_runner runner(workers.context,
                          {.address = kHost, .port = kInstancePort}, dialect);
   std::promise<upstream_result> done;
-  runner.SetCallbacks([](const call_id&) {},
+  runner.SetCallbacks([](const call_id&) { return true; },
                       [&](const call_id&, upstream_result result) {
                         done.set_value(std::move(result));
                       },
