Log the rest of a warm-up as unknown where it is

The line about a limit that ends with a health check or a registration showed the largest number of milliseconds in left_ms. It is null now.

--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -200,12 +200,14 @@
   }
   reported_cold_ = cold;
   reported_cold_rate_ = rate;
+  const instant end = warm_up_.cold_until();
   listener_.OnColdLimit(
       {.cold = cold,
-       .source =
-           kWarmUpSourceNames[static_cast<std::size_t>(warm_up_.source())],
+       .source = NameOf(warm_up_.source()),
        .max_rate = rate,
-       .left = cold ? warm_up_.cold_until() - now : duration::zero()});
+       .left = end == instant::max()
+                   ? std::nullopt
+                   : std::optional(std::max(end - now, duration::zero()))});
 }
 
 std::optional<double> target_internals::CurrentColdRate(instant now) const {
--- a/calls/calls.h
+++ b/calls/calls.h
@@ -272,7 +272,7 @@
   bool cold = false;               // the instance counts as cold from now on
   std::string_view source;         // latest source of the warm-up
   std::optional<double> max_rate;  // requests a second; empty: no limit
-  duration left{};                 // rest of the warm-up
+  std::optional<duration> left;    // rest of the warm-up; empty: not known
 };
 
 // A request that is about to be written to a cold instance, for the log.
--- a/calls/warm_up.h
+++ b/calls/warm_up.h
@@ -27,6 +27,10 @@
     "registration", "health check", "start of the daemon",
     "unclear health check", "end of an evacuation"};
 
+inline std::string_view NameOf(warm_up_source source) {
+  return kWarmUpSourceNames[static_cast<std::size_t>(source)];
+}
+
 class warm_up {
  public:
   // Call it with the end that the registration of the instance states, at each
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -499,12 +499,16 @@
 }
 
 void daemon_internals::OnColdLimit(const cold_limit_line& line) {
+  boost::json::object fields{
+      {"source", line.source}, {"max_per_s", nullptr}, {"left_ms", nullptr}};
+  if (line.max_rate) {
+    fields["max_per_s"] = *line.max_rate;
+  }
+  if (line.left) {
+    fields["left_ms"] = line.left->count() / 1000;
+  }
   log_.Write(log_kind::kColdInstance, log_level::kInfo, "target",
-             line.cold ? "instance cold" : "instance warm",
-             {{"source", line.source},
-              {"max_per_s", line.max_rate ? boost::json::value(*line.max_rate)
-                                          : boost::json::value()},
-              {"left_ms", line.left.count() / 1000}});
+             line.cold ? "instance cold" : "instance warm", std::move(fields));
 }
 
 void daemon_internals::OnColdRequest(const cold_request_line& line) {
