Move the limit of a cold instance out of the call target

cold_limiter combines the warm-up, the limits and the pacer, which the call target had put together in several places. Behaviour is unchanged; the tests are the same.

--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -1,10 +1,9 @@
 // Target side of a call: admits it, runs it at most once and keeps its answer.
 
 #include "calls/call_table.h"
-#include "calls/cold_pacer.h"
+#include "calls/cold_limiter.h"
 #include "calls/instance_watch.h"
 #include "calls/wait_queue.h"
-#include "calls/warm_up.h"
 #include "model/pause_guard.h"
 
 #include <algorithm>
@@ -28,30 +27,6 @@
 // due is shorter than this share of its service time.
 constexpr double kMinServiceTimeShare = 0.7;
 
-// Share of the bound on a cold instance that is used. The instance counts
-// arrivals, and a request may arrive late after it was written. Delayed
-// requests then arrive together with later ones.
-constexpr double kColdRateShare = 0.65;
-
-// Limit for a cold instance whose cold rate is not known and whose cold limits
-// have no slack, in requests a second.
-constexpr double kMinColdRate = 1;
-
-// Returns the number of requests that a cold instance may get in any second.
-// Empty if there is no limit: the service states no cold rate. `config` is null
-// if the service is not known yet; then only the slack is certain.
-std::optional<double> MaxColdRate(const service* config,
-                                  const cold_limits& limits) {
-  if (config == nullptr) {
-    return std::max(kMinColdRate, kColdRateShare * limits.slack);
-  }
-  if (config->cold_rate <= 0) {
-    return std::nullopt;
-  }
-  const double bound = config->cold_rate * limits.factor + limits.slack;
-  return std::max(config->cold_rate, kColdRateShare * bound);
-}
-
 }  // namespace
 
 class target_internals {
@@ -69,7 +44,7 @@
         link_(link),
         listener_(listener),
         table_(options_.max_tracked_attempts, options_.max_kept_answer_bytes),
-        pacer_(clock.Now()),
+        cold_limiter_(options_.cold, clock.Now()),
         pause_guard_(clock.Now()) {}
 
   void Tick();
@@ -82,7 +57,9 @@
   void OnUpstreamReport(const upstream_report& report);
   void BeginDrain() { draining_ = true; }
   void RefuseNewCalls() { refuses_new_calls_ = true; }
-  void SetColdLimits(const cold_limits& limits) { options_.cold = limits; }
+  void SetColdLimits(const cold_limits& limits) {
+    cold_limiter_.SetLimits(limits);
+  }
   bool idle() const { return running_ == 0 && queue_.empty(); }
   load_report Load(const std::string& route = "") const;
 
@@ -91,9 +68,7 @@
   refusal_reason FindInstanceRefusal(const call_request& message) const;
   refusal_reason FindStartRefusal(const table_entry& call, instant now) const;
   void UpdateFromView(instant now);
-  instant WarmAtTheLatest(instant now) const;
   void ReportColdLimit(instant now);
-  std::optional<double> CurrentColdRate(instant now) const;  // empty: no limit
   instance_capacity Capacity(instant now) const;
   waiting_call ToWaitingCall(const call_request& message,
                              const table_entry& entry,
@@ -121,8 +96,7 @@
   target_listener& listener_;
   call_table table_;
   wait_queue queue_;
-  cold_pacer pacer_;
-  warm_up warm_up_;
+  cold_limiter cold_limiter_;
   instance_watch watch_;
   pause_guard pause_guard_;
   std::uint32_t running_ = 0;
@@ -131,9 +105,6 @@
   std::string last_instance_;  // id of the last instance registered here
   std::uint32_t slots_ = 1;
   bool was_evacuated_ = false;
-  // Last reported to the listener.
-  bool reported_cold_ = false;
-  std::optional<double> reported_cold_rate_;
 };
 
 load_report target_internals::Load(const std::string& route) const {
@@ -168,56 +139,27 @@
 
 void target_internals::UpdateFromView(instant now) {
   const auto view = view_.Current();
+  cold_limiter_.SetService(
+      view->config ? view->config->FindService(options_.service) : nullptr);
   const known_instance* registered =
       view->FindAt(options_.address, options_.instance_port);
   if (registered != nullptr) {
     last_instance_ = registered->registration.id;
     slots_ = std::max(1U, registered->registration.slots);
-    warm_up_.OnRegistration(registered->cold_until);
+    cold_limiter_.OnRegistration(registered->cold_until);
   }
   const bool evacuated = view->evacuated.contains(options_.failure_domain);
   if (was_evacuated_ && !evacuated) {
-    warm_up_.OnDoubt(warm_up_source::kEvacuationEnd, WarmAtTheLatest(now));
+    cold_limiter_.OnEvacuationEnd(now);
   }
   was_evacuated_ = evacuated;
   ReportColdLimit(now);
 }
 
-// Returns the time at which the instance is warm if it becomes cold now;
-// instant::max() as long as its warm-up time is not known.
-instant target_internals::WarmAtTheLatest(instant now) const {
-  const auto view = view_.Current();
-  const service* config =
-      view->config ? view->config->FindService(options_.service) : nullptr;
-  return config ? now + config->warm_up : instant::max();
-}
-
 void target_internals::ReportColdLimit(instant now) {
-  const bool cold = warm_up_.IsCold(now);
-  const std::optional<double> rate = CurrentColdRate(now);
-  if (cold == reported_cold_ && rate == reported_cold_rate_) {
-    return;
-  }
-  reported_cold_ = cold;
-  reported_cold_rate_ = rate;
-  const instant end = warm_up_.cold_until();
-  listener_.OnColdLimit(
-      {.cold = cold,
-       .source = NameOf(warm_up_.source()),
-       .max_rate = rate,
-       .left = end == instant::max()
-                   ? std::nullopt
-                   : std::optional(std::max(end - now, duration::zero()))});
-}
-
-std::optional<double> target_internals::CurrentColdRate(instant now) const {
-  if (!warm_up_.IsCold(now)) {
-    return std::nullopt;
+  if (const auto change = cold_limiter_.TakeChange(now)) {
+    listener_.OnColdLimit(*change);
   }
-  const auto view = view_.Current();
-  const service* config =
-      view->config ? view->config->FindService(options_.service) : nullptr;
-  return MaxColdRate(config, options_.cold);
 }
 
 refusal_reason target_internals::FindInstanceRefusal(
@@ -263,7 +205,7 @@
   return {.running = running_,
           .limit = slots_,
           .service_time = watch_.service_time(),
-          .max_start_rate = CurrentColdRate(now)};
+          .max_start_rate = cold_limiter_.MaxRate(now)};
 }
 
 // ---------------------------------------------------------------------------
@@ -347,8 +289,8 @@
   const waiting_call candidate = ToWaitingCall(*message, entry, now);
   if (refusal == refusal_reason::kNone && options_.limit_admission &&
       !TryAdmit(candidate, now)) {
-    refusal = CurrentColdRate(now) ? refusal_reason::kCold
-                                   : refusal_reason::kOverloaded;
+    refusal = cold_limiter_.MaxRate(now) ? refusal_reason::kCold
+                                         : refusal_reason::kOverloaded;
   }
   if (refusal != refusal_reason::kNone) {
     ReportEvent(*message, "refused", refusal,
@@ -368,8 +310,7 @@
   const instant now = clock_.Now();
   pause_guard_.Observe(now);
   while (!queue_.empty() && (running_ < slots_ || !options_.limit_admission)) {
-    const std::optional<double> rate = CurrentColdRate(now);
-    if (rate && options_.limit_admission && !pacer_.Allows(*rate, now)) {
+    if (options_.limit_admission && !cold_limiter_.Allows(now)) {
       return;
     }
     StartOrRefuse(*queue_.PopFirst(), now);
@@ -406,7 +347,7 @@
   call.state = attempt_state::kRunning;
   call.started_at = now;
   ++running_;
-  pacer_.OnStarted(now);
+  cold_limiter_.pacer().OnStarted(now);
   upstream_.Run(next.id, call.message, call.deadline - now);
 }
 
@@ -443,8 +384,8 @@
     return false;
   }
   call->written = true;
-  pacer_.OnWritten(now);
-  if (warm_up_.IsCold(now)) {
+  cold_limiter_.pacer().OnWritten(now);
+  if (cold_limiter_.IsCold(now)) {
     listener_.OnColdRequest({.request = call->message->request_id,
                              .instance = call->message->instance,
                              .since_start = now - call->started_at});
@@ -461,7 +402,7 @@
   }
   --running_;
   if (!call->written) {
-    pacer_.OnDropped();
+    cold_limiter_.pacer().OnDropped();
   }
   const bool withheld = call->withheld_for != refusal_reason::kNone;
   if (!withheld) {
@@ -496,16 +437,10 @@
   StartWaitingCalls();
 }
 
-// A response that does not state the warm-up, such as a rejection by a full
-// instance, may come from an instance that has restarted.
 void target_internals::OnUpstreamReport(const upstream_report& report) {
   const instant now = clock_.Now();
   watch_.OnReport(report, now);
-  if (report.cold_left) {
-    warm_up_.OnHealthCheck(*report.cold_left, now);
-  } else if (report.reachable && !warm_up_.NeedsHealthCheck(now)) {
-    warm_up_.OnDoubt(warm_up_source::kUnclearHealthCheck, WarmAtTheLatest(now));
-  }
+  cold_limiter_.OnHealthCheck(report, now);
   ReportColdLimit(now);
   StartWaitingCalls();
 }
@@ -560,7 +495,7 @@
 void target_internals::Tick() {
   const instant now = clock_.Now();
   UpdateFromView(now);
-  if (watch_.ProbeDue(warm_up_.NeedsHealthCheck(now), now)) {
+  if (watch_.ProbeDue(cold_limiter_.NeedsHealthCheck(now), now)) {
     upstream_.Probe();
   }
   table_.Expire(now);
--- /dev/null
+++ b/calls/cold_limiter.cc
@@ -0,0 +1,83 @@
+#include "calls/cold_limiter.h"
+
+#include <algorithm>
+
+namespace parsleyyard {
+
+namespace {
+
+// Share of the bound on a cold instance that is used. The instance counts
+// arrivals, and a request may arrive late after it was written. Delayed
+// requests then arrive together with later ones.
+constexpr double kColdRateShare = 0.65;
+// Limit if the cold rate is not known and the cold limits have no slack, in
+// requests a second.
+constexpr double kMinColdRate = 1;
+
+}  // namespace
+
+void cold_limiter::SetService(const service* config) {
+  service_.reset();
+  if (config != nullptr) {
+    service_ = {.warm_up = config->warm_up, .cold_rate = config->cold_rate};
+  }
+}
+
+// Returns the time at which the instance is warm if it becomes cold now;
+// instant::max() as long as its warm-up time is not known.
+instant cold_limiter::WarmAtTheLatest(instant now) const {
+  return service_ ? now + service_->warm_up : instant::max();
+}
+
+void cold_limiter::OnEvacuationEnd(instant now) {
+  warm_up_.OnDoubt(warm_up_source::kEvacuationEnd, WarmAtTheLatest(now));
+}
+
+// A response that does not state the warm-up, such as a rejection by a full
+// instance, may come from an instance that has restarted.
+void cold_limiter::OnHealthCheck(const upstream_report& report, instant now) {
+  if (report.cold_left) {
+    warm_up_.OnHealthCheck(*report.cold_left, now);
+  } else if (report.reachable && !warm_up_.NeedsHealthCheck(now)) {
+    warm_up_.OnDoubt(warm_up_source::kUnclearHealthCheck, WarmAtTheLatest(now));
+  }
+}
+
+std::optional<double> cold_limiter::MaxRate(instant now) const {
+  if (!warm_up_.IsCold(now)) {
+    return std::nullopt;
+  }
+  if (!service_) {
+    // Only the slack is certain.
+    return std::max(kMinColdRate, kColdRateShare * limits_.slack);
+  }
+  if (service_->cold_rate <= 0) {
+    return std::nullopt;
+  }
+  const double bound = service_->cold_rate * limits_.factor + limits_.slack;
+  return std::max(service_->cold_rate, kColdRateShare * bound);
+}
+
+bool cold_limiter::Allows(instant now) const {
+  const std::optional<double> rate = MaxRate(now);
+  return !rate || pacer_.Allows(*rate, now);
+}
+
+std::optional<cold_limit_line> cold_limiter::TakeChange(instant now) {
+  const bool cold = warm_up_.IsCold(now);
+  const std::optional<double> rate = MaxRate(now);
+  if (cold == reported_cold_ && rate == reported_rate_) {
+    return std::nullopt;
+  }
+  reported_cold_ = cold;
+  reported_rate_ = rate;
+  cold_limit_line line{
+      .cold = cold, .source = NameOf(warm_up_.source()), .max_rate = rate};
+  const instant end = warm_up_.cold_until();
+  if (end != instant::max()) {
+    line.left = std::max(end - now, duration::zero());
+  }
+  return line;
+}
+
+}  // namespace parsleyyard
--- /dev/null
+++ b/calls/cold_limiter.h
@@ -0,0 +1,69 @@
+// Limit on the requests to the instance of this host while it is cold. Internal
+// to calls/.
+//
+// Combines what is known of the warm-up, the limits of the service and of the
+// platform, and the count of the requests.
+
+#ifndef PARSLEYYARD_CALLS_COLD_LIMITER_H_
+#define PARSLEYYARD_CALLS_COLD_LIMITER_H_
+
+#include "calls/calls.h"
+#include "calls/cold_pacer.h"
+#include "calls/warm_up.h"
+
+#include <optional>
+
+namespace parsleyyard {
+
+class cold_limiter {
+ public:
+  cold_limiter(const cold_limits& limits, instant process_started_at)
+      : limits_(limits), pacer_(process_started_at) {}
+
+  void SetLimits(const cold_limits& limits) { limits_ = limits; }
+  // Sets the configuration of the instance's service; null: not known.
+  void SetService(const service* config);
+  void OnRegistration(instant cold_until) {
+    warm_up_.OnRegistration(cold_until);
+  }
+  // The failure domain is no longer evacuated: the instance may have become
+  // cold meanwhile.
+  void OnEvacuationEnd(instant now);
+  void OnHealthCheck(const upstream_report& report, instant now);
+
+  bool IsCold(instant now) const { return warm_up_.IsCold(now); }
+  // Returns true if only a health check can say whether the instance is cold.
+  bool NeedsHealthCheck(instant now) const {
+    return warm_up_.NeedsHealthCheck(now);
+  }
+  // Returns the number of requests allowed in any second; empty: no limit.
+  std::optional<double> MaxRate(instant now) const;
+  // Returns true if a call may be started now.
+  bool Allows(instant now) const;
+  // Records the calls. See cold_pacer.
+  cold_pacer& pacer() { return pacer_; }
+
+  // Returns a line for the log if the limit has changed since the last call.
+  std::optional<cold_limit_line> TakeChange(instant now);
+
+ private:
+  // What the configuration says of the service.
+  struct service_limits {
+    duration warm_up{};
+    double cold_rate = 0;  // requests a second; 0: no limit
+  };
+
+  instant WarmAtTheLatest(instant now) const;
+
+  cold_limits limits_;
+  std::optional<service_limits> service_;  // empty: not known
+  warm_up warm_up_;
+  cold_pacer pacer_;
+  // Last returned by TakeChange().
+  bool reported_cold_ = false;
+  std::optional<double> reported_rate_;
+};
+
+}  // namespace parsleyyard
+
+#endif  // PARSLEYYARD_CALLS_COLD_LIMITER_H_
