Move the updates between daemons into a file of their own

What packs, relays and applies updates is in control/view_updates.cc now, with its constants. Behaviour is unchanged; the tests are the same.

--- a/control/control.h
+++ b/control/control.h
@@ -249,6 +249,7 @@
   bool IsInOwnRegion(const host_address& host) const;
   std::size_t RankInRegion(const host_address& except) const;
   std::size_t CountPeersInRegion() const;
+  bool WaitsForStartupReaders() const;
   void SendFullUpdateToRegion();
   void RequestUpdates() const;
   void RequestUpdatesIfUnlisted(instant now);
@@ -275,6 +276,7 @@
               const std::string& subject,
               std::string because = "");
   view_update EmptyUpdate(std::uint64_t from) const;
+  void StampUpdate(view_update& update) const;
   static view_item PackItem(const source_item& item, const cached_item& base);
   void Relay(const view_update& message,
              const std::vector<relay_step>& steps) const;
