--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -347,7 +347,7 @@
   call.state = attempt_state::kRunning;
   call.started_at = now;
   ++running_;
-  cold_limiter_.pacer().OnStarted(now);
+  cold_limiter_.Pacer().OnStarted(now);
   upstream_.Run(next.id, call.message, call.deadline - now);
 }
 
@@ -384,7 +384,7 @@
     return false;
   }
   call->written = true;
-  cold_limiter_.pacer().OnWritten(now);
+  cold_limiter_.Pacer().OnWritten(now);
   if (cold_limiter_.IsCold(now)) {
     listener_.OnColdRequest({.request = call->message->request_id,
                              .instance = call->message->instance,
@@ -402,7 +402,7 @@
   }
   --running_;
   if (!call->written) {
-    cold_limiter_.pacer().OnDropped();
+    cold_limiter_.Pacer().OnDropped();
   }
   const bool withheld = call->withheld_for != refusal_reason::kNone;
   if (!withheld) {
--- a/calls/cold_limiter.cc
+++ b/calls/cold_limiter.cc
@@ -72,7 +72,7 @@
   reported_cold_ = cold;
   reported_rate_ = rate;
   cold_limit_line line{
-      .cold = cold, .source = NameOf(warm_up_.source()), .max_rate = rate};
+      .cold = cold, .source = NameOf(warm_up_.Source()), .max_rate = rate};
   const instant end = warm_up_.cold_until();
   if (end != instant::max()) {
     line.left = std::max(end - now, duration::zero());
--- a/calls/cold_limiter.h
+++ b/calls/cold_limiter.h
@@ -41,7 +41,7 @@
   // Returns true if a call may be started now.
   bool Allows(instant now) const;
   // Records the calls. See cold_pacer.
-  cold_pacer& pacer() { return pacer_; }
+  cold_pacer& Pacer() { return pacer_; }
 
   // Returns a line for the log if the limit has changed since the last call.
   std::optional<cold_limit_line> TakeChange(instant now);
--- a/calls/warm_up.cc
+++ b/calls/warm_up.cc
@@ -33,7 +33,7 @@
   return std::max(stated_until_, doubted_until_);
 }
 
-warm_up_source warm_up::source() const {
+warm_up_source warm_up::Source() const {
   return doubted_until_ > stated_until_ ? doubted_for_ : stated_by_;
 }
 
--- a/calls/warm_up.h
+++ b/calls/warm_up.h
@@ -46,7 +46,7 @@
   // on a registration or a health check.
   instant cold_until() const;
   bool IsCold(instant now) const { return now < cold_until(); }
-  warm_up_source source() const;
+  warm_up_source Source() const;
   // Returns true if only a health check can end the doubt.
   bool NeedsHealthCheck(instant now) const;
 
