Take no other daemon's word for an outage of the store

Change: a daemon holds removals for a peer only if its own view has not been confirmed for 1.5 s, or if it has no view yet.

Control.HoldsNoRemovalsForPeerIfStoreWasAvailable failed before; Control.HoldsRemovalsForPeerAfterOutage fails if no removals are held.

--- a/control/control.h
+++ b/control/control.h
@@ -270,6 +270,7 @@
   bool ApplyValue(const source_item& item, cached_item& cached);
   bool IsOlder(const instance& offered, const cached_item& cached) const;
   void DropExpired(instant now);
+  bool MayHaveMissedOutage(instant now) const;
   void HoldRemovalsAfterOutage(instant now);
   void PublishSnapshot();
   void Report(std::string_view name,
--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -283,6 +283,12 @@
   back_off_until_ = now + kReaderBackOff;
 }
 
+// A view that was confirmed lately shows that the store was available, whatever
+// another daemon has seen.
+bool view_keeper::MayHaveMissedOutage(instant now) const {
+  return revision_ == 0 || Age(now) >= kStoreOutageAge;
+}
+
 // Instances whose registration expired during a store outage are kept until
 // they had time to register again. A view can be old for other reasons, such as
 // a process pause: only a failed read shows that the store was unavailable.
--- a/control/view_updates.cc
+++ b/control/view_updates.cc
@@ -149,9 +149,11 @@
   if (is_new) {
     SendToSubscribers(message);
   }
-  removals_held_until_ =
-      std::max(removals_held_until_,
-               now + std::chrono::milliseconds(message.removals_held_ms));
+  if (MayHaveMissedOutage(now)) {
+    removals_held_until_ =
+        std::max(removals_held_until_,
+                 now + std::chrono::milliseconds(message.removals_held_ms));
+  }
   if (message.to_revision < revision_) {
     return;
   }
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -240,6 +240,56 @@
       << "it did not register again";
 }
 
+// A view keeper with the registration of one instance, "1".
+struct keeper_with_instance {
+  keeper_with_instance() {
+    store.Put("i/1", InstanceText("10.0.0.5", "domain-0"), clock.now);
+    keeper.Tick();
+    keeper.OnStateRead(store.AllItems());
+    keeper.Tick();
+    keeper.OnFullRead(store.AllItems());
+  }
+  // Receives the removal of the instance from a peer that holds removals.
+  void ReceiveHeldRemoval() {
+    const std::uint64_t known = store.revision();
+    store.Remove("i/1", clock.now);
+    keeper.OnUpdate(
+        {.root = "10.0.0.2",
+         .from_revision = known,
+         .to_revision = store.revision(),
+         .removals_held_ms = 2000,
+         .items = {
+             {.key = "i/1", .revision = store.revision(), .removed = true}}});
+  }
+
+  manual_clock clock;
+  text_decoder decoder;
+  recording_environment environment;
+  simulated_store store;
+  view_keeper keeper{{.address = "10.0.0.1"},
+                     clock,
+                     decoder,
+                     environment,
+                     environment,
+                     environment};
+};
+
+// Guards against calls to an instance that has left, since one daemon could not
+// read the store and takes that for an outage of the store (bench: DRAIN).
+TEST(Control, HoldsNoRemovalsForPeerIfStoreWasAvailable) {
+  keeper_with_instance test;
+  test.clock.now += milliseconds(700);
+  test.ReceiveHeldRemoval();
+  EXPECT_TRUE(test.keeper.Current()->instances.empty());
+}
+
+TEST(Control, HoldsRemovalsForPeerAfterOutage) {
+  keeper_with_instance test;
+  test.clock.now += seconds(5);
+  test.ReceiveHeldRemoval();
+  EXPECT_EQ(test.keeper.Current()->instances.size(), 1u);
+}
+
 TEST(Control, DropsRemovedInstanceAtOnceWithoutOutage) {
   view_world world(kDaemons);
   world.Run(seconds(5));
