Cancel a started call whose request is not written yet

A request that may not be repeated could reach its instance after its caller had left: a cancel ended only waiting calls and idempotent ones, and between the start of a call and the write lies up to a second.

target_fixture.CancelWithholdsRequestThatIsNotWrittenYet failed before (the request was written).

--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -374,7 +374,7 @@
   const instant now = clock_.Now();
   table_entry* call = table_.Find(id);
   if (call == nullptr || call->state != attempt_state::kRunning ||
-      call->written) {
+      call->written || call->withheld_for != refusal_reason::kNone) {
     return false;
   }
   pause_guard_.Observe(now);
@@ -475,8 +475,8 @@
   }
 }
 
-// Refuses a waiting call. Aborts a running call only if it is idempotent: a
-// never-repeat call runs to its end.
+// Refuses a waiting call, and one whose request is not written yet. Aborts any
+// other call only if it is idempotent: a never-repeat call runs to its end.
 void target_internals::OnCancel(const call_cancel& message) {
   table_entry* call = table_.Find(message.id);
   if (call == nullptr) {
@@ -487,7 +487,13 @@
     RefuseWaitingCall(message.id, refusal_reason::kCancelled);
     return;
   }
-  if (call->state == attempt_state::kRunning && !call->message->never_repeat) {
+  if (call->state != attempt_state::kRunning) {
+    return;
+  }
+  if (!call->written) {
+    call->withheld_for = refusal_reason::kCancelled;
+  }
+  if (!call->written || !call->message->never_repeat) {
     upstream_.Cancel(message.id);
   }
 }
--- a/tests/calls_test.cc
+++ b/tests/calls_test.cc
@@ -399,6 +399,21 @@
   EXPECT_EQ(cancelled_, (std::vector<std::uint64_t>{1}));
 }
 
+// Guards against requests that reach an instance after their caller has left:
+// a call that may not be repeated was not cancelled once it was started.
+TEST_F(target_fixture, CancelWithholdsRequestThatIsNotWrittenYet) {
+  hold_writes_ = true;
+  call_request never_repeat = Message(1);
+  never_repeat.never_repeat = true;
+  Send(never_repeat);
+  target_->OnCancel({.id = {.origin = 9, .sequence = 1}});
+  EXPECT_EQ(cancelled_, (std::vector<std::uint64_t>{1}));
+  WriteHeldRequests();
+  EXPECT_TRUE(written_.empty());
+  EXPECT_EQ(answers_[1].outcome, call_outcome::kNotRun);
+  EXPECT_EQ(answers_[1].reason, refusal_reason::kCancelled);
+}
+
 TEST_F(target_fixture, PassesRemainingTimeToInstance) {
   Call(1);
   Call(2);
