Catch up by a full read after a response that did not arrive whole

From the logs: sidecar-celje-b-9 had been cut off from 10.6 s to about 14.4 s while configurations came in quick succession. From then on each catch-up ended after 0.9 s without a whole response, and its view stayed at revision 78 until 22.2 s, when the store had compacted its history and a full read was due. It took a full read only after configurations that it knew to be recent; what it had missed it could not know.

Change: the client of the store tells a response that began and did not arrive whole from no response. After such a failure the view keeper reads all: one configuration in place of all missed ones.

Control.ReadsAllAfterResponseThatIsTooLongForItsTimeout fails without the change of the view keeper; StoreClient.TellsIncompleteResponseFromNoResponse covers the client.

--- a/control/control.h
+++ b/control/control.h
@@ -49,6 +49,7 @@
 
 enum class source_failure : std::uint8_t {
   kUnavailable,       // the store sent no response or refused the request
+  kIncomplete,        // a response began and did not arrive whole in time
   kHistoryCompacted,  // the store no longer has the changes since that revision
 };
 
@@ -200,7 +201,7 @@
   instant confirmed_at{};      // when the store confirmed `revision`
   bool active_reader = false;  // this daemon polls the store for the others
   std::uint64_t reads = 0;     // reads of the store since the start
-  std::uint64_t failures = 0;  // reads that failed with kUnavailable
+  std::uint64_t failures = 0;  // reads that failed, but for kHistoryCompacted
 };
 
 class view_keeper {
--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -272,6 +272,9 @@
     next_read_ = now + FullReadDelay();
     return;
   }
+  // A watch returns all that was missed, which can be more than the link
+  // carries in time, however often it is repeated.
+  needs_full_read_ |= why == source_failure::kIncomplete;
   ++failures_;
   failed_since_confirmed_ = true;
   if (active_reader_) {
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -172,6 +172,7 @@
     parser.skip(head_only);
     auto [error, head_size] = co_await http::async_read_header(
         conn.stream, conn.buffer, parser, kNothrowAwaitable);
+    exchange.begun |= !error;
     if (!error && !parser.is_done()) {
       error = co_await ReadBody(conn.stream, conn.buffer, parser,
                                 options_.max_body_bytes, &body_budget_);
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -83,9 +83,9 @@
 struct recording_environment : public config_source,
                                public view_transport,
                                public view_listener {
-  void ReadAll() override {}
+  void ReadAll() override { ++full_reads; }
   void ReadState() override {}
-  void Watch(std::uint64_t, duration) override {}
+  void Watch(std::uint64_t, duration) override { ++watches; }
   void SendUpdate(const host_address&, const view_update& m) override {
     sent.push_back(m);
   }
@@ -93,6 +93,8 @@
   void OnSnapshot(std::shared_ptr<const snapshot>) override {}
   void OnEvent(const view_event&) override {}
   std::vector<view_update> sent;
+  int full_reads = 0;
+  int watches = 0;
 };
 
 // Guards against calls into an evacuated failure domain between the first read
@@ -283,6 +285,20 @@
   EXPECT_TRUE(test.keeper.Current()->instances.empty());
 }
 
+// Guards against a daemon that never catches up after it was cut off: the watch
+// brought all missed configurations, and timed out each time (bench: CONFIG).
+TEST(Control, ReadsAllAfterResponseThatIsTooLongForItsTimeout) {
+  keeper_with_instance test;
+  test.clock.now += seconds(5);
+  test.keeper.Tick();
+  ASSERT_EQ(test.environment.watches, 1);
+  const int before = test.environment.full_reads;
+  test.keeper.OnSourceFailure(source_failure::kIncomplete);
+  test.clock.now += seconds(1);
+  test.keeper.Tick();
+  EXPECT_EQ(test.environment.full_reads, before + 1);
+}
+
 TEST(Control, HoldsRemovalsForPeerAfterOutage) {
   keeper_with_instance test;
   test.clock.now += seconds(5);
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -37,10 +37,12 @@
     state.set_value(std::move(update));
   }
   void OnWatchResult(source_update /*update*/) override {}
-  void OnSourceFailure(source_failure /*why*/,
-                       std::string /*detail*/) override {}
+  void OnSourceFailure(source_failure why, std::string /*detail*/) override {
+    failure.set_value(why);
+  }
 
   std::promise<source_update> state;
+  std::promise<source_failure> failure;
 };
 
 TEST(StoreClient, StateReadBringsRegistrationsAndEvacuations) {
@@ -60,5 +62,26 @@
   EXPECT_EQ(update.as_of, 8u) << "the revision of the older page";
 }
 
+TEST(StoreClient, TellsIncompleteResponseFromNoResponse) {
+  const std::string half = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf";
+  for (const bool begins : {true, false}) {
+    worker_threads workers;
+    asio::io_context context;
+    tcp::acceptor acceptor(context,
+                           {asio::ip::make_address_v4(kHost), kStorePort});
+    state_listener listener;
+    platform::store_client client(
+        workers.context, {.address = kHost, .port = kStorePort}, listener);
+    client.Watch(1, milliseconds(1));
+    tcp::socket socket = acceptor.accept();
+    if (begins) {
+      WriteText(socket, half);
+    }
+    EXPECT_EQ(
+        listener.failure.get_future().get(),
+        begins ? source_failure::kIncomplete : source_failure::kUnavailable);
+  }
+}
+
 }  // namespace
 }  // namespace parsleyyard
