--- a/tests/calls_test.cc
+++ b/tests/calls_test.cc
@@ -161,7 +161,7 @@
   EXPECT_EQ(answers_[3].reason, refusal_reason::kFailureDomainOut);
 }
 
-// Guards against calls to an evacuated instance from a daemon that just started.
+// Guards against calls to an evacuated instance from a new daemon.
 TEST_F(target_fixture, RefusesCallsBeforeAnythingOfTheStoreIsKnown) {
   view_ = std::make_shared<snapshot>();
   Call(1);
--- a/tests/cold_test.cc
+++ b/tests/cold_test.cc
@@ -152,7 +152,7 @@
   EXPECT_LE(MaxInOneSecond(written_), 10u);
 }
 
-// Guards against a flood if an evacuation ends before the warm-up time is known.
+// Guards against a flood after an evacuation if the warm-up time is not known.
 TEST_F(target_fixture, LimitsInstanceAfterEvacuationWithoutConfiguration) {
   SetView({Instance("i", "10.0.0.1", "north-a", 100)});
   view_->config = nullptr;
