Give the results of reads a store position

A read states the state of the store that it shows as a position: the era of the store's history and the revision in it. The era is not read yet, so that nothing changes.

--- a/control/control.h
+++ b/control/control.h
@@ -33,6 +33,15 @@
 // 1. Source
 // ---------------------------------------------------------------------------
 
+// A state of the store. Within one era the revision rises with each change. A
+// store that comes back from an older copy begins the next era, in which it
+// gives out revisions again: revisions alone must not be compared.
+struct store_position {
+  std::uint64_t era = 0;  // 0: the store states none
+  std::uint64_t revision = 0;
+  auto operator<=>(const store_position&) const = default;
+};
+
 // One item of the store, or its removal.
 struct source_item {
   std::string key;
@@ -44,7 +53,7 @@
 // Result of one read of the store.
 struct source_update {
   std::vector<source_item> items;
-  std::uint64_t as_of = 0;  // store revision once all items are applied
+  store_position as_of;  // state of the store once all items are applied
 };
 
 enum class source_failure : std::uint8_t {
@@ -263,7 +272,7 @@
   void ObservePause(instant now);
   void AddImpliedRemovals(source_update& update) const;
   void ApplyRead(std::vector<source_item> items,
-                 std::uint64_t as_of,
+                 store_position as_of,
                  instant confirmed);
   void ConfirmRevision(std::uint64_t revision, instant at);
   bool ApplyItem(const source_item& item);
--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -321,9 +321,9 @@
     present.insert(item.key);
   }
   for (const auto& [key, cached] : items_) {
-    if (!present.contains(key) && cached.revision <= update.as_of) {
+    if (!present.contains(key) && cached.revision <= update.as_of.revision) {
       update.items.push_back(
-          {.key = key, .revision = update.as_of, .removed = true});
+          {.key = key, .revision = update.as_of.revision, .removed = true});
     }
   }
 }
@@ -355,7 +355,7 @@
   needs_full_read_ = false;
   needs_catch_up_ = false;
   next_read_ = now + options_.pause;
-  if (update.as_of < revision_) {
+  if (update.as_of.revision < revision_) {
     return;
   }
   AddImpliedRemovals(update);
@@ -382,13 +382,13 @@
   read_in_flight_ = false;
   next_read_ = update.items.empty() ? now : now + options_.pause;
   // A revision cannot rise without a change, so the store omitted some.
-  if (update.items.empty() && update.as_of > revision_) {
-    Report("store changes missing", std::to_string(update.as_of));
+  if (update.items.empty() && update.as_of.revision > revision_) {
+    Report("store changes missing", std::to_string(update.as_of.revision));
     needs_full_read_ = true;
     needs_catch_up_ = true;
     return;
   }
-  if (update.as_of < revision_) {
+  if (update.as_of.revision < revision_) {
     return;
   }
   // The store sends an empty response at the end of the wait, so it confirms
@@ -403,7 +403,7 @@
 // Applies the items of a read and, if this daemon is the active reader, sends
 // the changes to its peers.
 void view_keeper::ApplyRead(std::vector<source_item> items,
-                            std::uint64_t as_of,
+                            store_position as_of,
                             instant confirmed) {
   HoldRemovalsAfterOutage(clock_.Now());
   const bool is_first_view = revision_ == 0;
@@ -419,7 +419,7 @@
       update.items.push_back(PackItem(item, base));
     }
   }
-  ConfirmRevision(as_of, confirmed);
+  ConfirmRevision(as_of.revision, confirmed);
   own_read_confirmed_at_ = read_started_at_;
   if (changed) {
     PublishSnapshot();
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -59,7 +59,7 @@
   ASSERT_EQ(update.items.size(), 2u);
   EXPECT_EQ(update.items[0].key, "servers/x");
   EXPECT_EQ(update.items[1].key, "op/evacuate/x");
-  EXPECT_EQ(update.as_of, 8u) << "the revision of the older page";
+  EXPECT_EQ(update.as_of.revision, 8u) << "the revision of the older page";
 }
 
 TEST(StoreClient, TellsIncompleteResponseFromNoResponse) {
--- a/tests/view_world.cc
+++ b/tests/view_world.cc
@@ -95,7 +95,7 @@
 }
 
 source_update simulated_store::AllItems() const {
-  source_update update{.as_of = revision_};
+  source_update update{.as_of = {.revision = revision_}};
   for (const auto& [key, item] : items_) {
     update.items.push_back(item);
   }
@@ -103,7 +103,7 @@
 }
 
 source_update simulated_store::ChangesAfter(std::uint64_t revision) const {
-  source_update update{.as_of = revision_};
+  source_update update{.as_of = {.revision = revision_}};
   for (const change& each : history_) {
     const auto found = items_.find(each.key);
     if (each.revision <= revision) {
