--- a/control/control.h
+++ b/control/control.h
@@ -23,6 +23,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -33,20 +34,14 @@
 // 1. Source
 // ---------------------------------------------------------------------------
 
-// A state of the store. Within one era the revision rises with each change. A
-// store that comes back from an older copy begins the next era, in which it
-// gives out revisions again: revisions alone must not be compared.
-struct store_position {
-  std::uint64_t era = 0;  // 0: the store states none
-  std::uint64_t revision = 0;
-  auto operator<=>(const store_position&) const = default;
-};
-
 // One item of the store, or its removal.
 struct source_item {
   std::string key;
-  std::uint64_t revision = 0;  // store revision of the item's last change
+  // Revision of the item's last change, in the era of the read or the update.
+  std::uint64_t revision = 0;
   bool removed = false;
+  // The store lacks this value; a peer keeps it, since it may be written again.
+  bool held = false;
   std::string value;
 };
 
@@ -60,6 +55,7 @@
   kUnavailable,       // the store sent no response or refused the request
   kIncomplete,        // a response began and did not arrive whole in time
   kHistoryCompacted,  // the store no longer has the changes since that revision
+  kEraChanged,        // the pages of a read come from two eras
 };
 
 // Reads the store. Each call leads to exactly one OnFullRead(),
@@ -72,7 +68,8 @@
   // Reads all but the configuration: the registrations and the evacuations,
   // which are small.
   virtual void ReadState() = 0;
-  // Waits up to `wait` for changes after store revision `after`.
+  // Waits up to `wait` for changes after store revision `after`. The result
+  // may be of another era than that revision; it lists the wrong changes then.
   virtual void Watch(std::uint64_t after, duration wait) = 0;
 };
 
@@ -180,7 +177,7 @@
 struct view_event {
   std::string_view name;  // such as "configuration adopted"
   std::string subject;    // such as an instance, a key or a version
-  std::uint64_t revision = 0;
+  store_position position;
   duration age{};       // age of the view
   std::string because;  // empty if the event needs no explanation
 };
@@ -204,13 +201,14 @@
 };
 
 struct view_status {
-  std::uint64_t revision = 0;  // store revision of the view
+  store_position position;     // state of the store that the view reflects
   std::uint64_t version = 0;   // configuration version; 0: no configuration
-  duration age{};              // time since the store confirmed `revision`
-  instant confirmed_at{};      // when the store confirmed `revision`
+  duration age{};              // time since the store confirmed `position`
+  instant confirmed_at{};      // when the store confirmed `position`
   bool active_reader = false;  // this daemon polls the store for the others
   std::uint64_t reads = 0;     // reads of the store since the start
-  std::uint64_t failures = 0;  // reads that failed, but for kHistoryCompacted
+  // Reads that failed, but for kHistoryCompacted and kEraChanged.
+  std::uint64_t failures = 0;
 };
 
 class view_keeper {
@@ -244,12 +242,22 @@
  private:
   // Local copy of one store item.
   struct cached_item {
-    std::uint64_t revision = 0;
+    store_position position;  // of the last change
     std::string value;
     decoded_item decoded;
     instant cold_until{};  // end of the warm-up, if the item is an instance
-    // Removed from the store, but kept since it may register again.
-    bool expired = false;
+    // The store lacks the item. Kept, since it may be written again.
+    bool held = false;
+    // Left out of the view until then: the store lists an instance that had
+    // left before the store was restored.
+    instant hidden_until{};
+  };
+
+  // An instance that has left, to recognise its registration in an older copy.
+  struct departed_instance {
+    instance registration;  // the last one
+    std::uint64_t era = 0;  // in which it left
+    instant at{};
   };
 
   duration Age(instant now) const { return now - confirmed_at_; }
@@ -265,6 +273,20 @@
   void RequestUpdatesIfUnlisted(instant now);
   void SendToSubscribers(const view_update& update);
   void DropItemsMissingFrom(const view_update& full_update);
+  bool HasView() const { return position_.revision != 0; }
+  bool BeginsEra(const store_position& offered) const {
+    return HasView() && offered.era > position_.era;
+  }
+  bool IsOfEarlierEra(const store_position& offered) const {
+    return HasView() && offered.era < position_.era;
+  }
+  void RejectRead(const store_position& offered);
+  void PlanFullRead();
+  void BeginEra(const std::set<std::string>& present,
+                const store_position& as_of);
+  void AnswerRequest(const view_update& request);
+  void SendRequest(const host_address& peer) const;
+  void MissEra(const host_address& originator);
   view_update BuildFullUpdate() const;
   duration FullReadDelay() const;
   std::vector<relay_peer> Peers() const;
@@ -274,21 +296,33 @@
   void ApplyRead(std::vector<source_item> items,
                  store_position as_of,
                  instant confirmed);
-  void ConfirmRevision(std::uint64_t revision, instant at);
-  bool ApplyItem(const source_item& item);
-  bool ApplyRemoval(const source_item& item);
+  void ConfirmPosition(const store_position& position, instant at);
+  bool ApplyItem(const source_item& item, std::uint64_t era);
+  bool ApplyHeldItem(const source_item& item, std::uint64_t era);
+  bool ApplyRemoval(const source_item& item, std::uint64_t era);
   bool ApplyValue(const source_item& item, cached_item& cached);
-  bool IsOlder(const instance& offered, const cached_item& cached) const;
-  void DropExpired(instant now);
+  bool ApplyInstance(const source_item& item,
+                     const instance& offered,
+                     cached_item& cached);
+  bool ApplyConfiguration(const source_item& item,
+                          const std::shared_ptr<const configuration>& offered,
+                          cached_item& cached);
+  bool HasDeparted(const std::string& key,
+                   const instance& offered,
+                   std::uint64_t era) const;
+  void NoteDeparture(const std::string& key, const cached_item& cached);
+  void DropHeldItems(instant now);
+  void ShowHiddenItems(instant now);
   bool MayHaveMissedOutage(instant now) const;
+  void HoldRemovals();
   void HoldRemovalsAfterOutage(instant now);
   void PublishSnapshot();
   void Report(std::string_view name,
               const std::string& subject,
               std::string because = "");
-  view_update EmptyUpdate(std::uint64_t from) const;
+  view_update EmptyUpdate(std::uint64_t from_revision) const;
   void StampUpdate(view_update& update) const;
-  static view_item PackItem(const source_item& item, const cached_item& base);
+  static view_item PackItem(const source_item& item, const std::string& base);
   void Relay(const view_update& message,
              const std::vector<relay_step>& steps) const;
   std::vector<source_item> LatestPerKey(std::vector<source_item> items) const;
@@ -302,8 +336,9 @@
   view_transport& transport_;
   view_listener& listener_;
 
-  std::map<std::string, cached_item> items_;  // by key
-  std::uint64_t revision_ = 0;                // 0: no view yet
+  std::map<std::string, cached_item> items_;           // by key
+  std::map<std::string, departed_instance> departed_;  // by key
+  store_position position_;  // revision 0: no view yet
   instant confirmed_at_{};
   std::shared_ptr<const snapshot> view_ = std::make_shared<const snapshot>();
 
@@ -320,7 +355,9 @@
   instant read_started_at_{};
   instant next_read_{};            // earliest time of the next read
   instant back_off_until_{};       // end of the back-off after a failed read
-  instant removals_held_until_{};  // expired instances are kept until then
+  instant removals_held_until_{};  // held items are kept until then
+  // The store lists an older configuration than the one in force.
+  bool config_ahead_of_store_ = false;
   bool stale_reported_ = false;
   pause_guard pause_guard_;
   // Start of this daemon's last successful read of the store.
--- a/control/view_items.cc
+++ b/control/view_items.cc
@@ -12,6 +12,15 @@
 
 namespace {
 
+using config_pointer = std::shared_ptr<const configuration>;
+
+// Time after which the store removes the registration of an instance that has
+// been silent: three heartbeats of 1.5 s, and some margin.
+constexpr duration kRegistrationLifetime = std::chrono::milliseconds(5000);
+// Time for which an instance that has left is remembered. Copies that a store
+// is restored from are some seconds old.
+constexpr duration kDepartureMemory = std::chrono::seconds(60);
+
 bool HasSameState(const instance& a, const instance& b) {
   return a.service == b.service && a.host == b.host && a.port == b.port &&
          a.failure_domain == b.failure_domain && a.slots == b.slots &&
@@ -19,11 +28,17 @@
          a.cold_left == b.cold_left;
 }
 
+// True if registration `a` was written before `b`.
+bool HasOrderBefore(const instance& a, const instance& b) {
+  return std::tuple(a.started_ms, a.sequence) <
+         std::tuple(b.started_ms, b.sequence);
+}
+
 // True if `a` started later than `b`. If the start times are equal or both
 // unknown: true if `a` was changed later in the store.
 bool IsNewer(const known_instance& a, const known_instance& b) {
-  return std::tuple(a.registration.started_ms, a.revision) >
-         std::tuple(b.registration.started_ms, b.revision);
+  return std::tuple(a.registration.started_ms, a.position) >
+         std::tuple(b.registration.started_ms, b.position);
 }
 
 // An instance that lost power stays registered for some seconds after another
@@ -46,64 +61,157 @@
 
 }  // namespace
 
-// True if `offered` is older than the cached registration: delayed
-// registrations may arrive out of order.
-bool view_keeper::IsOlder(const instance& offered,
-                          const cached_item& cached) const {
+// ---------------------------------------------------------------------------
+// Instances that have left
+// ---------------------------------------------------------------------------
+
+void view_keeper::NoteDeparture(const std::string& key,
+                                const cached_item& cached) {
   const auto* known = std::get_if<instance>(&cached.decoded);
   if (known == nullptr) {
-    return false;
+    return;
+  }
+  const instant now = clock_.Now();
+  std::erase_if(departed_, [&](const auto& entry) {
+    return now - entry.second.at > kDepartureMemory;
+  });
+  const auto found = departed_.find(key);
+  const bool is_older = found != departed_.end() &&
+                        HasOrderBefore(*known, found->second.registration);
+  departed_[key] = {
+      .registration = is_older ? found->second.registration : *known,
+      .era = position_.era,
+      .at = now};
+}
+
+// True if `offered` is no newer than the last registration of an instance that
+// left in an earlier era: a restored store lists it until it expires, unless
+// the instance is there after all and registers again.
+bool view_keeper::HasDeparted(const std::string& key,
+                              const instance& offered,
+                              std::uint64_t era) const {
+  const auto found = departed_.find(key);
+  return found != departed_.end() && found->second.era < era &&
+         !HasOrderBefore(found->second.registration, offered);
+}
+
+void view_keeper::ShowHiddenItems(instant now) {
+  bool changed = false;
+  for (auto& [key, cached] : items_) {
+    if (cached.hidden_until != instant() && now >= cached.hidden_until) {
+      cached.hidden_until = instant();
+      departed_.erase(key);
+      changed = true;
+      Report("instance ready", key, "its registration has not expired");
+    }
   }
-  if (offered.started_ms != known->started_ms) {
-    return offered.started_ms < known->started_ms;
+  if (changed) {
+    PublishSnapshot();
   }
-  return offered.sequence < known->sequence;
 }
 
-bool view_keeper::ApplyItem(const source_item& item) {
+// ---------------------------------------------------------------------------
+// Applying items
+// ---------------------------------------------------------------------------
+
+bool view_keeper::ApplyItem(const source_item& item, std::uint64_t era) {
+  const store_position position{.era = era, .revision = item.revision};
   const auto found = items_.find(item.key);
-  if (found != items_.end() && found->second.revision >= item.revision) {
+  const bool known = found != items_.end();
+  if (known && found->second.position >= position) {
     return false;
   }
   if (item.removed) {
-    return ApplyRemoval(item);
+    return ApplyRemoval(item, era);
+  }
+  // A restored store lists most items as they were.
+  const bool is_unchanged = known && found->second.position.era != era &&
+                            found->second.value == item.value;
+  if (is_unchanged) {
+    found->second.position = position;
+    return false;
+  }
+  cached_item& cached = items_[item.key];
+  cached.position = position;
+  return ApplyValue(item, cached);
+}
+
+// Applies an item that a peer keeps although the store lacks it.
+bool view_keeper::ApplyHeldItem(const source_item& item, std::uint64_t era) {
+  const auto found = items_.find(item.key);
+  if (found == items_.end()) {
+    const bool changed = ApplyItem(item, era);
+    cached_item& cached = items_[item.key];
+    cached.held = !std::holds_alternative<config_pointer>(cached.decoded);
+    config_ahead_of_store_ |= !cached.held;
+    return changed;
+  }
+  cached_item& cached = found->second;
+  if (!std::holds_alternative<config_pointer>(cached.decoded)) {
+    return false;
   }
-  return ApplyValue(item, items_[item.key]);
+  const bool changed = ApplyValue(item, cached);
+  config_ahead_of_store_ |= changed;
+  return changed;
 }
 
-bool view_keeper::ApplyRemoval(const source_item& item) {
+bool view_keeper::ApplyRemoval(const source_item& item, std::uint64_t era) {
   const auto found = items_.find(item.key);
   if (found == items_.end()) {
     return false;
   }
   cached_item& cached = found->second;
-  if (std::holds_alternative<std::shared_ptr<const configuration>>(
-          cached.decoded)) {
+  if (std::holds_alternative<config_pointer>(cached.decoded)) {
     return false;
   }
   const auto* known = std::get_if<instance>(&cached.decoded);
   const bool may_reregister = known != nullptr && !known->draining;
   if (may_reregister && clock_.Now() < removals_held_until_) {
-    cached.expired = true;
-    cached.revision = item.revision;
+    cached.held = true;
+    cached.position = {.era = era, .revision = item.revision};
     Report("instance expired", known->id,
            "kept until it had time to register again");
     return false;
   }
   Report("item removed", item.key);
+  NoteDeparture(item.key, cached);
   items_.erase(found);
   return true;
 }
 
-void view_keeper::DropExpired(instant now) {
+// The store lost what was written after the copy, and its writers write it
+// again. Until then items that the copy lacks are held.
+void view_keeper::BeginEra(const std::set<std::string>& present,
+                           const store_position& as_of) {
+  Report("store restored from an older copy", std::to_string(as_of.era),
+         "what it lacks is kept until it had time to be written again");
+  HoldRemovals();
+  for (auto& [key, cached] : items_) {
+    const bool listed = present.contains(key);
+    const bool is_config =
+        std::holds_alternative<config_pointer>(cached.decoded);
+    cached.held = !listed && !is_config;
+    config_ahead_of_store_ |= !listed && is_config;
+    cached.position = listed ? cached.position : as_of;
+  }
+}
+
+void view_keeper::DropHeldItems(instant now) {
   if (now < removals_held_until_) {
     return;
   }
-  const std::size_t dropped = std::erase_if(
-      items_, [](const auto& entry) { return entry.second.expired; });
+  std::size_t dropped = 0;
+  for (auto next = items_.begin(); next != items_.end();) {
+    const auto entry = next++;
+    if (entry->second.held) {
+      NoteDeparture(entry->first, entry->second);
+      items_.erase(entry);
+      ++dropped;
+    }
+  }
   if (dropped > 0) {
     Report("expired instances removed", std::to_string(dropped),
-           "they did not register again after the store outage");
+           "they did not register again in time");
     PublishSnapshot();
   }
 }
@@ -124,62 +232,100 @@
         problem = "unknown error";
         return decoded_item();
       });
-  cached.revision = item.revision;
   if (!problem.empty()) {
     Report("item rejected", item.key, problem);
   }
   const bool keeps_last_valid =
       !problem.empty() &&
-      std::holds_alternative<std::shared_ptr<const configuration>>(
-          cached.decoded);
+      std::holds_alternative<config_pointer>(cached.decoded);
   if (keeps_last_valid) {
     return false;
   }
   if (const auto* offered = std::get_if<instance>(&decoded)) {
-    if (IsOlder(*offered, cached)) {
-      Report("registration ignored", offered->id,
-             "it is older than the last one");
-      return false;
-    }
-    const auto* known = std::get_if<instance>(&cached.decoded);
-    const bool same = known != nullptr && HasSameState(*known, *offered);
-    const bool reregistered = std::exchange(cached.expired, false);
-    const bool cold = offered->cold_left > duration::zero();
-    if (!same || cold) {
-      // Counted from now: when the registration was written is not known, and
-      // a read may have begun before that.
-      cached.cold_until = clock_.Now() + offered->cold_left;
-    }
-    if (!same) {
-      Report(offered->draining ? "instance draining" : "instance ready",
-             offered->id, cold ? "cold" : "");
-    }
-    cached.value = item.value;
-    cached.decoded = std::move(decoded);
-    return !same || reregistered || cold;
-  }
-  if (const auto* config =
-          std::get_if<std::shared_ptr<const configuration>>(&decoded)) {
-    config_changed_at_ = clock_.Now();
-    Report("configuration adopted", std::to_string((*config)->version()));
-  } else if (const auto* out = std::get_if<evacuation>(&decoded)) {
+    return ApplyInstance(item, *offered, cached);
+  }
+  if (const auto* offered = std::get_if<config_pointer>(&decoded)) {
+    return ApplyConfiguration(item, *offered, cached);
+  }
+  if (const auto* out = std::get_if<evacuation>(&decoded)) {
     Report("evacuation", out->failure_domain);
   }
+  cached.held = false;
   cached.value = item.value;
   cached.decoded = std::move(decoded);
   return true;
 }
 
+bool view_keeper::ApplyInstance(const source_item& item,
+                                const instance& offered,
+                                cached_item& cached) {
+  const auto* known = std::get_if<instance>(&cached.decoded);
+  // Delayed registrations may arrive out of order.
+  if (known != nullptr && HasOrderBefore(offered, *known)) {
+    Report("registration ignored", offered.id, "it is older than the last one");
+    return false;
+  }
+  const bool was_hidden = cached.hidden_until != instant();
+  const bool is_hidden = HasDeparted(item.key, offered, cached.position.era);
+  cached.hidden_until =
+      is_hidden ? clock_.Now() + kRegistrationLifetime : instant();
+  const bool same = known != nullptr && HasSameState(*known, offered);
+  const bool reregistered = std::exchange(cached.held, false);
+  const bool cold = offered.cold_left > duration::zero();
+  if (!same || cold) {
+    // Counted from now: when the registration was written is not known, and
+    // a read may have begun before that.
+    cached.cold_until = clock_.Now() + offered.cold_left;
+  }
+  if (is_hidden) {
+    Report("registration ignored", offered.id,
+           "it left before the store was restored");
+  } else if (!same || was_hidden) {
+    Report(offered.draining ? "instance draining" : "instance ready",
+           offered.id, cold ? "cold" : "");
+  }
+  cached.value = item.value;
+  cached.decoded = offered;
+  return !same || reregistered || cold || was_hidden;
+}
+
+// Versions only rise. A store that was restored from an older copy lists an
+// older configuration until the operator has written the latest one again.
+bool view_keeper::ApplyConfiguration(const source_item& item,
+                                     const config_pointer& offered,
+                                     cached_item& cached) {
+  const auto* known = std::get_if<config_pointer>(&cached.decoded);
+  const std::string version = std::to_string(offered->version());
+  config_ahead_of_store_ =
+      known != nullptr && offered->version() < (*known)->version();
+  if (config_ahead_of_store_) {
+    Report("configuration ignored", version,
+           "it is older than version " + std::to_string((*known)->version()));
+    return false;
+  }
+  config_changed_at_ = clock_.Now();
+  Report("configuration adopted", version);
+  cached.value = item.value;
+  cached.decoded = offered;
+  return true;
+}
+
+// ---------------------------------------------------------------------------
+// Publishing
+// ---------------------------------------------------------------------------
+
 void view_keeper::PublishSnapshot() {
   auto next = std::make_shared<snapshot>();
-  next->revision = revision_;
+  next->position = position_;
   for (const auto& [key, cached] : items_) {
-    if (const auto* config = std::get_if<std::shared_ptr<const configuration>>(
-            &cached.decoded)) {
+    if (cached.hidden_until != instant()) {
+      continue;
+    }
+    if (const auto* config = std::get_if<config_pointer>(&cached.decoded)) {
       next->config = *config;
     } else if (const auto* known = std::get_if<instance>(&cached.decoded)) {
       next->instances[known->id] = {.registration = *known,
-                                    .revision = cached.revision,
+                                    .position = cached.position,
                                     .cold_until = cached.cold_until};
     } else if (const auto* out = std::get_if<evacuation>(&cached.decoded)) {
       next->evacuated.insert(out->failure_domain);
--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -46,6 +46,14 @@
 // Shortest wait that the store accepts for a watch; it responds at once.
 constexpr duration kMinWatchWait = std::chrono::milliseconds(1);
 
+std::set<std::string> KeysOf(const std::vector<source_item>& items) {
+  std::set<std::string> keys;
+  for (const source_item& item : items) {
+    keys.insert(item.key);
+  }
+  return keys;
+}
+
 }  // namespace
 
 view_keeper::view_keeper(view_options options,
@@ -64,7 +72,7 @@
       pause_guard_(clock.Now()) {}
 
 view_status view_keeper::Status() const {
-  return {.revision = revision_,
+  return {.position = position_,
           .version = view_->config ? view_->config->version() : 0,
           .age = Age(clock_.Now()),
           .confirmed_at = confirmed_at_,
@@ -172,11 +180,17 @@
   return reads_at_once ? duration::zero() : kFullReadDelay;
 }
 
+void view_keeper::PlanFullRead() {
+  needs_full_read_ = true;
+  needs_catch_up_ = true;
+  next_read_ = clock_.Now() + FullReadDelay();
+}
+
 // An update that waited in a socket while the process was suspended is older
 // than its age_ms. After a pause only an own read of this daemon confirms the
 // view.
 void view_keeper::ObservePause(instant now) {
-  if (pause_guard_.Observe(now) && revision_ != 0) {
+  if (pause_guard_.Observe(now) && HasView()) {
     needs_catch_up_ = true;
     next_read_ = now;
     Report("process resumed after a pause", options_.address);
@@ -186,9 +200,10 @@
 void view_keeper::Tick() {
   const instant now = clock_.Now();
   ObservePause(now);
-  DropExpired(now);
+  DropHeldItems(now);
+  ShowHiddenItems(now);
   RequestUpdatesIfUnlisted(now);
-  const bool stale = revision_ != 0 && Age(now) > kStoreOutageAge;
+  const bool stale = HasView() && Age(now) > kStoreOutageAge;
   if (stale != stale_reported_) {
     stale_reported_ = stale;
     Report(stale ? "view stale" : "view no longer stale", "");
@@ -196,13 +211,13 @@
   if (read_in_flight_ || now < next_read_) {
     return;
   }
-  if (!active_reader_ && revision_ != 0 && !needs_catch_up_ &&
+  if (!active_reader_ && HasView() && !needs_catch_up_ &&
       Age(now) >= TakeoverAge(now)) {
     active_reader_ = true;
     Report("became active reader", options_.address);
     return StartRead(now);
   }
-  if (active_reader_ || needs_catch_up_ || revision_ == 0) {
+  if (active_reader_ || needs_catch_up_ || !HasView()) {
     StartRead(now);
   }
 }
@@ -224,7 +239,7 @@
     return source_.ReadAll();
   }
   needs_catch_up_ = false;
-  source_.Watch(revision_, behind ? kMinWatchWait : options_.watch);
+  source_.Watch(position_.revision, behind ? kMinWatchWait : options_.watch);
 }
 
 void view_keeper::OnSourceFailure(source_failure why) {
@@ -232,9 +247,10 @@
   read_in_flight_ = false;
   if (why == source_failure::kHistoryCompacted) {
     Report("store history compacted", "");
-    needs_full_read_ = true;
-    needs_catch_up_ = true;
-    next_read_ = now + FullReadDelay();
+    return PlanFullRead();
+  }
+  if (why == source_failure::kEraChanged) {
+    next_read_ = now;
     return;
   }
   // A watch returns all that was missed, which can be more than the link
@@ -254,16 +270,19 @@
 // A view that was confirmed lately shows that the store was available, whatever
 // another daemon has seen.
 bool view_keeper::MayHaveMissedOutage(instant now) const {
-  return revision_ == 0 || Age(now) >= kStoreOutageAge;
+  return !HasView() || Age(now) >= kStoreOutageAge;
+}
+
+void view_keeper::HoldRemovals() {
+  removals_held_until_ = clock_.Now() + kReregistrationTime;
 }
 
 // Instances whose registration expired during a store outage are kept until
 // they had time to register again. A view can be old for other reasons, such as
 // a process pause: only a failed read shows that the store was unavailable.
 void view_keeper::HoldRemovalsAfterOutage(instant now) {
-  if (revision_ != 0 && failed_since_confirmed_ &&
-      Age(now) >= kStoreOutageAge) {
-    removals_held_until_ = now + kReregistrationTime;
+  if (HasView() && failed_since_confirmed_ && Age(now) >= kStoreOutageAge) {
+    HoldRemovals();
     Report("store available again", "",
            "removals are delayed so that instances can register again");
   }
@@ -273,20 +292,17 @@
 // Results of reads
 // ---------------------------------------------------------------------------
 
-void view_keeper::ConfirmRevision(std::uint64_t revision, instant at) {
-  confirmed_at_ = revision_ == 0 ? at : std::max(confirmed_at_, at);
-  revision_ = std::max(revision_, revision);
+void view_keeper::ConfirmPosition(const store_position& position, instant at) {
+  confirmed_at_ = HasView() ? std::max(confirmed_at_, at) : at;
+  position_ = HasView() ? std::max(position_, position) : position;
   failed_since_confirmed_ &= Age(clock_.Now()) >= kStoreOutageAge;
 }
 
 // A full read does not list removals: a cached item that it lacks was removed.
 void view_keeper::AddImpliedRemovals(source_update& update) const {
-  std::set<std::string> present;
-  for (const source_item& item : update.items) {
-    present.insert(item.key);
-  }
+  const std::set<std::string> present = KeysOf(update.items);
   for (const auto& [key, cached] : items_) {
-    if (!present.contains(key) && cached.revision <= update.as_of.revision) {
+    if (!present.contains(key) && cached.position <= update.as_of) {
       update.items.push_back(
           {.key = key, .revision = update.as_of.revision, .removed = true});
     }
@@ -300,11 +316,11 @@
   const instant now = clock_.Now();
   read_in_flight_ = false;
   state_read_ = true;
-  if (revision_ != 0) {
+  if (HasView()) {
     return;
   }
   for (const source_item& item : update.items) {
-    ApplyItem(item);
+    ApplyItem(item, update.as_of.era);
   }
   PublishSnapshot();
   const bool waits = WaitsForStartupReaders();
@@ -314,16 +330,32 @@
   }
 }
 
+// Drops a read that is not of the store's present history: its answer is late
+// or states no era.
+void view_keeper::RejectRead(const store_position& offered) {
+  Report("read ignored",
+         std::to_string(offered.era) + "/" + std::to_string(offered.revision),
+         "its era is over or not stated");
+  OnSourceFailure(source_failure::kUnavailable);
+}
+
 void view_keeper::OnFullRead(source_update update) {
-  const instant now = clock_.Now();
+  if (IsOfEarlierEra(update.as_of)) {
+    return RejectRead(update.as_of);
+  }
   read_in_flight_ = false;
   needs_full_read_ = false;
   needs_catch_up_ = false;
-  next_read_ = now + options_.pause;
-  if (update.as_of.revision < revision_) {
+  next_read_ = clock_.Now() + options_.pause;
+  if (HasView() && update.as_of < position_) {
     return;
   }
-  AddImpliedRemovals(update);
+  const bool begins_era = BeginsEra(update.as_of);
+  if (begins_era) {
+    BeginEra(KeysOf(update.items), update.as_of);
+  } else {
+    AddImpliedRemovals(update);
+  }
   ApplyRead(std::move(update.items), update.as_of, read_started_at_);
 }
 
@@ -343,17 +375,26 @@
 }
 
 void view_keeper::OnWatchResult(source_update update) {
+  if (IsOfEarlierEra(update.as_of)) {
+    return RejectRead(update.as_of);
+  }
   const instant now = clock_.Now();
   read_in_flight_ = false;
+  // The watch began at a revision of the earlier era, so that its changes
+  // belong to another history.
+  if (BeginsEra(update.as_of)) {
+    Report("store era ended", std::to_string(update.as_of.era));
+    return PlanFullRead();
+  }
   next_read_ = update.items.empty() ? now : now + options_.pause;
   // A revision cannot rise without a change, so the store omitted some.
-  if (update.items.empty() && update.as_of.revision > revision_) {
+  if (update.items.empty() && update.as_of > position_) {
     Report("store changes missing", std::to_string(update.as_of.revision));
     needs_full_read_ = true;
     needs_catch_up_ = true;
     return;
   }
-  if (update.as_of.revision < revision_) {
+  if (update.as_of < position_) {
     return;
   }
   // The store sends an empty response at the end of the wait, so it confirms
@@ -366,25 +407,26 @@
 }
 
 // Applies the items of a read and, if this daemon is the active reader, sends
-// the changes to its peers.
+// the changes to its peers. In a new era they get all items.
 void view_keeper::ApplyRead(std::vector<source_item> items,
                             store_position as_of,
                             instant confirmed) {
   HoldRemovalsAfterOutage(clock_.Now());
-  const bool is_first_view = revision_ == 0;
-  view_update update = EmptyUpdate(revision_);
-  bool changed = is_first_view;
+  const bool is_first_view = !HasView();
+  const bool begins_era = BeginsEra(as_of);
+  view_update update = EmptyUpdate(begins_era ? 0 : position_.revision);
+  bool changed = is_first_view || begins_era;
   for (const source_item& item : items) {
     const auto cached = items_.find(item.key);
-    const cached_item base =
-        cached == items_.end() ? cached_item() : cached->second;
-    const bool applied = ApplyItem(item);
+    const std::string base =
+        cached == items_.end() ? std::string() : cached->second.value;
+    const bool applied = ApplyItem(item, as_of.era);
     changed |= applied;
-    if (applied || item.removed) {
+    if (applied || item.removed || begins_era) {
       update.items.push_back(PackItem(item, base));
     }
   }
-  ConfirmRevision(as_of.revision, confirmed);
+  ConfirmPosition(as_of, confirmed);
   own_read_confirmed_at_ = read_started_at_;
   if (changed) {
     PublishSnapshot();
@@ -406,7 +448,7 @@
                          std::string because) {
   listener_.OnEvent({.name = name,
                      .subject = subject,
-                     .revision = revision_,
+                     .position = position_,
                      .age = Age(clock_.Now()),
                      .because = std::move(because)});
 }
--- a/control/view_updates.cc
+++ b/control/view_updates.cc
@@ -3,6 +3,8 @@
 
 #include "control/control.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <limits>
 
@@ -32,6 +34,14 @@
       std::max<duration::rep>(0, value.count() / 1000));
 }
 
+std::uint64_t HashOf(const std::string& value) {
+  return XXH3_64bits(value.data(), value.size());
+}
+
+store_position PositionOf(const view_update& update) {
+  return {.era = update.era, .revision = update.to_revision};
+}
+
 }  // namespace
 
 // True if two other daemons of the region read the whole store at its start and
@@ -41,36 +51,39 @@
          RankInRegion("") >= kStartupReaders;
 }
 
-view_update view_keeper::EmptyUpdate(std::uint64_t from) const {
+view_update view_keeper::EmptyUpdate(std::uint64_t from_revision) const {
   view_update update{
       .root = options_.address,
       .cover_from = relay_range().first,
       .cover_to = relay_range().last,
-      .from_revision = from,
+      .from_revision = from_revision,
       .removals_held_ms = ToMilliseconds(removals_held_until_ - clock_.Now())};
   StampUpdate(update);
   return update;
 }
 
-// Sets the revision that the update leads to, and the age of the view.
+// Sets the position that the update leads to, and the age of the view.
 void view_keeper::StampUpdate(view_update& update) const {
-  update.to_revision = revision_;
+  update.era = position_.era;
+  update.to_revision = position_.revision;
   update.age_ms = ToMilliseconds(Age(clock_.Now()));
 }
 
-// `base` is the cached item of the same key from before the change.
+// `base` is the value of the same key from before the change. A receiver whose
+// value is another one can't unpack a delta to it.
 view_item view_keeper::PackItem(const source_item& item,
-                                const cached_item& base) {
+                                const std::string& base) {
   view_item packed_item{.key = item.key,
                         .revision = item.revision,
                         .removed = item.removed,
+                        .held = item.held,
                         .size = static_cast<std::uint32_t>(item.value.size())};
-  const bool delta = base.value.size() >= kMinDeltaBytes && !item.removed;
+  const bool delta = base.size() >= kMinDeltaBytes && !item.removed;
   if (delta) {
-    packed_item.base_revision = base.revision;
+    packed_item.base_hash = HashOf(base);
   }
   if (!item.removed) {
-    packed_item.packed = Pack(item.value, delta ? &base.value : nullptr);
+    packed_item.packed = Pack(item.value, delta ? &base : nullptr);
   }
   return packed_item;
 }
@@ -91,16 +104,19 @@
   for (const view_item& offered : message.items) {
     source_item item{.key = offered.key,
                      .revision = offered.revision,
-                     .removed = offered.removed};
+                     .removed = offered.removed,
+                     .held = offered.held};
     const auto cached = items_.find(offered.key);
     const bool known = cached != items_.end();
-    if (known && cached->second.revision >= offered.revision) {
+    const store_position position{.era = message.era,
+                                  .revision = offered.revision};
+    if (known && cached->second.position >= position && !offered.held) {
       continue;
     }
     if (!offered.removed) {
-      const bool has_base = offered.base_revision != 0 && known &&
-                            cached->second.revision == offered.base_revision;
-      if (offered.base_revision != 0 && !has_base) {
+      const bool has_base = offered.base_hash != 0 && known &&
+                            HashOf(cached->second.value) == offered.base_hash;
+      if (offered.base_hash != 0 && !has_base) {
         return std::nullopt;
       }
       auto value = Unpack(offered.packed, offered.size,
@@ -115,19 +131,23 @@
   return items;
 }
 
-// A full update does not list removals. This matters only to a daemon without a
-// view: it has read the registrations, and some may have been removed since.
+// A full update does not list removals. This matters only at the beginning of
+// an era, and to a daemon without a view: it has read the registrations, and
+// some may have been removed since.
 void view_keeper::DropItemsMissingFrom(const view_update& full_update) {
-  if (revision_ != 0) {
-    return;
-  }
+  const store_position as_of = PositionOf(full_update);
   std::set<std::string> present;
   for (const view_item& item : full_update.items) {
     present.insert(item.key);
   }
+  if (BeginsEra(as_of)) {
+    return BeginEra(present, as_of);
+  }
+  if (HasView()) {
+    return;
+  }
   std::erase_if(items_, [&](const auto& entry) {
-    return !present.contains(entry.first) &&
-           entry.second.revision <= full_update.to_revision;
+    return !present.contains(entry.first) && entry.second.position <= as_of;
   });
 }
 
@@ -140,12 +160,15 @@
                         Peers(), options_.fan_out));
   const bool is_request = message.to_revision == 0;
   if (is_request) {
-    subscribers_[message.root] = now;
+    return AnswerRequest(message);
+  }
+  const store_position offered = PositionOf(message);
+  if (IsOfEarlierEra(offered)) {
     return;
   }
   const instant confirmed = now - std::chrono::milliseconds(message.age_ms);
-  const bool is_new = message.to_revision > revision_ ||
-                      confirmed > confirmed_at_ + kDuplicateUpdateWindow;
+  const bool is_new =
+      offered > position_ || confirmed > confirmed_at_ + kDuplicateUpdateWindow;
   if (is_new) {
     SendToSubscribers(message);
   }
@@ -154,12 +177,16 @@
         std::max(removals_held_until_,
                  now + std::chrono::milliseconds(message.removals_held_ms));
   }
-  if (message.to_revision < revision_) {
+  if (HasView() && offered < position_) {
     return;
   }
   const auto items = UnpackItems(message);
-  if (message.from_revision > revision_ || !items) {
-    needs_catch_up_ = revision_ != 0;
+  const bool is_full = message.from_revision == 0;
+  if (BeginsEra(offered) && (!is_full || !items)) {
+    return MissEra(message.root);
+  }
+  if (message.from_revision > position_.revision || !items) {
+    needs_catch_up_ = HasView();
     return;
   }
   const bool originator_comes_first =
@@ -169,12 +196,13 @@
     Report("no longer active reader", options_.address,
            "a daemon earlier in the address order reads the store");
   }
-  bool changed = revision_ == 0;
-  if (message.from_revision == 0) {
+  bool changed = !HasView() || BeginsEra(offered);
+  if (is_full) {
     DropItemsMissingFrom(message);
   }
   for (const source_item& item : *items) {
-    changed |= ApplyItem(item);
+    changed |= item.held ? ApplyHeldItem(item, offered.era)
+                         : ApplyItem(item, offered.era);
   }
   // No change is missing any more, but after a pause an own read is needed.
   needs_full_read_ = false;
@@ -182,8 +210,7 @@
       pause_guard_.AwaitsConfirmation(own_read_confirmed_at_, now);
   const bool may_have_waited =
       pause_guard_.AwaitsConfirmation(own_read_confirmed_at_, now);
-  ConfirmRevision(message.to_revision,
-                  may_have_waited ? confirmed_at_ : confirmed);
+  ConfirmPosition(offered, may_have_waited ? confirmed_at_ : confirmed);
   if (changed) {
     PublishSnapshot();
   }
@@ -192,8 +219,15 @@
 view_update view_keeper::BuildFullUpdate() const {
   view_update full_update = EmptyUpdate(0);
   for (const auto& [key, cached] : items_) {
-    full_update.items.push_back(PackItem(
-        {.key = key, .revision = cached.revision, .value = cached.value}, {}));
+    const bool is_config =
+        std::holds_alternative<std::shared_ptr<const configuration>>(
+            cached.decoded);
+    full_update.items.push_back(
+        PackItem({.key = key,
+                  .revision = cached.position.revision,
+                  .held = cached.held || (is_config && config_ahead_of_store_),
+                  .value = cached.value},
+                 ""));
   }
   return full_update;
 }
@@ -212,6 +246,36 @@
                         all, Peers(), options_.fan_out));
 }
 
+void view_keeper::SendRequest(const host_address& peer) const {
+  view_update request = EmptyUpdate(position_.revision);
+  request.to_revision = 0;
+  transport_.SendUpdate(peer, request);
+}
+
+// A daemon whose view is of an earlier era gets the full view besides: it asks
+// only if it can't read the store.
+void view_keeper::AnswerRequest(const view_update& request) {
+  subscribers_[request.root] = clock_.Now();
+  const bool is_behind =
+      request.from_revision != 0 && HasView() && request.era < position_.era;
+  if (is_behind) {
+    transport_.SendUpdate(request.root, BuildFullUpdate());
+  }
+}
+
+// Handles an update of a new era that can't be applied.
+void view_keeper::MissEra(const host_address& originator) {
+  const instant now = clock_.Now();
+  if (!needs_full_read_) {
+    Report("store era ended", originator);
+    PlanFullRead();
+  }
+  if (failed_since_confirmed_ && now >= next_update_request_) {
+    next_update_request_ = now + kUpdateRequestInterval;
+    SendRequest(originator);
+  }
+}
+
 // Requests updates from the first two daemons of the region. To a daemon that
 // has just started they also send the full view.
 void view_keeper::RequestUpdates() const {
@@ -224,9 +288,7 @@
   std::size_t requested = 0;
   for (const auto& [order, address] : peers_by_order) {
     if (++requested <= kStartupReaders) {
-      view_update request = EmptyUpdate(0);
-      request.to_revision = 0;
-      transport_.SendUpdate(address, request);
+      SendRequest(address);
     }
   }
 }
@@ -234,7 +296,7 @@
 // Peers do not know of an unlisted daemon, whose instance is not registered yet
 // or no longer. It requests updates from them at regular intervals.
 void view_keeper::RequestUpdatesIfUnlisted(instant now) {
-  if (revision_ == 0 || now < next_update_request_ || IsListed()) {
+  if (!HasView() || now < next_update_request_ || IsListed()) {
     return;
   }
   next_update_request_ = now + kUpdateRequestInterval;
@@ -255,14 +317,15 @@
 }
 
 void view_keeper::OnPeerStarted(const host_address& peer) {
-  if (revision_ == 0) {
+  if (!HasView()) {
     return;
   }
   const bool store_unavailable = Age(clock_.Now()) >= options_.stale_after;
-  const bool waits_for_this_daemon = CountPeersInRegion() > kSmallRegionPeers &&
-                                     IsInOwnRegion(peer) &&
-                                     RankInRegion(peer) < kStartupReaders;
-  if (store_unavailable || waits_for_this_daemon) {
+  const bool is_startup_reader =
+      IsInOwnRegion(peer) && RankInRegion(peer) < kStartupReaders;
+  const bool needs_this_daemon =
+      CountPeersInRegion() > kSmallRegionPeers || config_ahead_of_store_;
+  if (store_unavailable || (is_startup_reader && needs_this_daemon)) {
     transport_.SendUpdate(peer, BuildFullUpdate());
   }
 }
--- a/daemon/admin_pages.cc
+++ b/daemon/admin_pages.cc
@@ -67,7 +67,7 @@
   const bool out = view.evacuated.contains(domain);
   return "Failure domain " + domain + " is " +
          (out ? "evacuated" : "in service") + " by revision " +
-         std::to_string(view.revision) + " of the store.\n";
+         std::to_string(view.position.revision) + " of the store.\n";
 }
 
 }  // namespace
@@ -124,7 +124,8 @@
                              {"draining", draining_.load()},
                              {"admits", admits},
                              {"version", status.version},
-                             {"revision", status.revision},
+                             {"revision", status.position.revision},
+                             {"store_era", status.position.era},
                              {"view_age_ms", status.age.count() / 1000},
                              {"reads_store", status.active_reader},
                              {"instances", view_.Current()->instances.size()},
@@ -161,7 +162,10 @@
              "Configuration version in force; 0 for none.",
              static_cast<double>(status.version));
   add_metric("view_revision", "gauge", "Store revision that the view reflects.",
-             static_cast<double>(status.revision));
+             static_cast<double>(status.position.revision));
+  add_metric("store_era", "gauge",
+             "Era of the store that the view reflects; 0 if it states none.",
+             static_cast<double>(status.position.era));
   add_metric("view_age_seconds", "gauge",
              "Time since the store confirmed the view.",
              std::chrono::duration<double>(status.age).count());
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -421,7 +421,8 @@
   metrics_.OnDecision(std::string(event.name) + ": " + event.subject);
   log_.Write(log_kind::kView, log_level::kInfo, "view", event.name,
              {{"subject", event.subject},
-              {"revision", event.revision},
+              {"era", event.position.era},
+              {"revision", event.position.revision},
               {"age_ms", event.age.count() / 1000},
               {"because", event.because}});
 }
--- a/model/messages_generated.h
+++ b/model/messages_generated.h
@@ -89,8 +89,10 @@
   std::string key;             // key in the store
   std::uint64_t revision = 0;  // store revision of the change
   bool removed = false;        // the item was removed
-  std::uint64_t base_revision =
-      0;  // revision of the value that the delta is based on; 0: no delta
+  bool held = false;  // the store lacks the item, but it may be written again:
+                      // kept for removals_held_ms
+  std::uint64_t base_hash =
+      0;  // XXH3 hash of the value that the delta is based on; 0: no delta
   std::uint32_t size = 0;  // length of the unpacked value in bytes
   std::string packed;  // value, or its delta to the base value, as a zstd frame
   bool operator==(const view_item&) const = default;
@@ -105,8 +107,11 @@
           // the receiver passes this on to
   std::uint64_t cover_to = 0;  // relay range: highest address order; the range
                                // is empty if below cover_from
-  std::uint64_t from_revision = 0;  // the receiver must have this revision or a
-                                    // later one; 0: the items are a full view
+  std::uint64_t era = 0;  // era of the store that all revisions belong to; 0:
+                          // the store states none
+  std::uint64_t from_revision =
+      0;  // the receiver must have this revision of the era or a later one; 0:
+          // the items are a full view
   std::uint64_t to_revision =
       0;  // store revision once the changes are applied; 0: no changes, the
           // originator requests updates
--- a/model/model.cc
+++ b/model/model.cc
@@ -90,7 +90,7 @@
     const bool same_address =
         known.registration.host == host && known.registration.port == port;
     if (same_address &&
-        (newest == nullptr || known.revision > newest->revision)) {
+        (newest == nullptr || known.position > newest->position)) {
       newest = &known;
     }
   }
--- a/model/model.h
+++ b/model/model.h
@@ -20,6 +20,7 @@
 #include <boost/leaf/result.hpp>
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -174,17 +175,26 @@
 // 4. Snapshot
 // ---------------------------------------------------------------------------
 
+// A state of the store. Within one era the revision rises with each change. A
+// store that comes back from an older copy begins the next era, in which it
+// gives out revisions again: revisions alone must not be compared.
+struct store_position {
+  std::uint64_t era = 0;  // 0: the store states none
+  std::uint64_t revision = 0;
+  auto operator<=>(const store_position&) const = default;
+};
+
 // A registered instance with what this daemon derives from its registration.
 struct known_instance {
   instance registration;
-  std::uint64_t revision = 0;  // store revision of the last change
-  instant cold_until{};        // end of the warm-up, on this daemon's clock
+  store_position position;  // of the last change
+  instant cold_until{};     // end of the warm-up, on this daemon's clock
 };
 
 // One immutable version of a daemon's view.
 struct snapshot {
-  std::uint64_t revision = 0;  // store revision; includes all changes up to it
-  std::shared_ptr<const configuration> config;      // null: none received yet
+  store_position position;                      // includes all changes up to it
+  std::shared_ptr<const configuration> config;  // null: none received yet
   std::map<std::string, known_instance> instances;  // by id
   std::map<std::string, std::vector<const known_instance*>, std::less<>>
       by_service;                                // pointers into `instances`
@@ -192,7 +202,7 @@
 
   // Returns true if nothing of the store is known yet.
   bool empty() const { return config == nullptr && instances.empty(); }
-  // Returns the instance at that host and port with the newest revision, or
+  // Returns the instance at that host and port that was changed last, or
   // null if none is registered there.
   const known_instance* FindAt(const host_address& host,
                                std::uint16_t port) const;
--- a/tests/call_fixtures.h
+++ b/tests/call_fixtures.h
@@ -55,7 +55,7 @@
                            .port = 9000,
                            .failure_domain = domain,
                            .slots = slots},
-          .revision = 1};
+          .position = {.revision = 1}};
 }
 
 // Returns a snapshot with one service "s" that has a cold rate of 10 a second.
--- a/tests/control_property_test.cc
+++ b/tests/control_property_test.cc
@@ -13,12 +13,15 @@
 
 // One change or fault.
 struct step {
-  int action;  // 0 to 15; see ApplyStep()
+  int action;  // 0 to 17; see ApplyStep()
   int daemon;
   int pause_ms;  // time until the next step
 };
 
-void ApplyStep(view_world& world, const step& next, std::vector<bool>& alive) {
+void ApplyStep(view_world& world,
+               const step& next,
+               std::vector<bool>& alive,
+               simulated_store::copy& copy) {
   const int daemon = next.daemon;
   switch (next.action) {
     case 0:
@@ -64,23 +67,29 @@
       return;
     case 14:
       return world.store().CompactHistory();
+    case 15:
+      copy = world.store().Copy();
+      return;
+    case 16:
+      return world.RestoreStore(copy, milliseconds(next.pause_ms * 2));
     default:
       return world.store().Put("config", "bad", world.now());
   }
 }
 
-TEST(ControlProperty, RevisionsNeverDecreaseAndChangesArriveInTime) {
+TEST(ControlProperty, PositionsNeverDecreaseAndChangesArriveInTime) {
   EXPECT_TRUE(rc::check("invariants hold under random faults and changes", [] {
     const auto steps = *rc::gen::container<std::vector<std::vector<int>>>(
         rc::gen::container<std::vector<int>>(3, rc::gen::inRange(0, 1 << 20)));
     view_world world(kDaemons);
     world.Run(seconds(4));
     std::vector<bool> alive(kDaemons, true);
+    simulated_store::copy copy = world.store().Copy();
     for (const std::vector<int>& numbers : steps) {
-      const step next{.action = numbers[0] % 16,
+      const step next{.action = numbers[0] % 18,
                       .daemon = numbers[1] % kDaemons,
                       .pause_ms = numbers[2] % 1500};
-      ApplyStep(world, next, alive);
+      ApplyStep(world, next, alive, copy);
       world.Run(milliseconds(next.pause_ms));
     }
     if (!world.Violations().empty()) {
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -62,6 +62,66 @@
   EXPECT_EQ(update.as_of.revision, 8u) << "the revision of the older page";
 }
 
+// Responds to each range read with two pages, of the given eras.
+class two_page_store : public http_handler {
+ public:
+  two_page_store(std::string first_era, std::string second_era)
+      : first_era_(std::move(first_era)), second_era_(std::move(second_era)) {}
+  std::optional<http_response> OnHead(const http_request& /*head*/) override {
+    return std::nullopt;
+  }
+  std::function<void()> OnRequest(http_request request,
+                                  response_callback reply) override {
+    const bool second = request.target.find("&after=") != std::string::npos;
+    reply({.headers = {{.name = "Store-Era",
+                        .value = second ? second_era_ : first_era_}},
+           .body = std::string(R"({"items":[{"key":")") +
+                   (second ? "servers/y" : "servers/x") +
+                   R"(","rev":3,"value":""}],"has-more":)" +
+                   (second ? "false" : "true") + R"(,"as-of":7})"});
+    return nullptr;
+  }
+
+ private:
+  const std::string first_era_;
+  const std::string second_era_;
+};
+
+class read_listener : public state_listener {
+ public:
+  void OnFullRead(source_update update) override {
+    state.set_value(std::move(update));
+  }
+};
+
+TEST(StoreClient, ReadStatesTheEraOfTheStore) {
+  worker_threads workers;
+  two_page_store store("4", "4");
+  http_server server(workers.context, {.address = kHost, .port = kStorePort},
+                     store);
+  ASSERT_TRUE(server.Listen());
+  read_listener listener;
+  platform::store_client client(
+      workers.context, {.address = kHost, .port = kStorePort}, listener);
+  client.ReadAll();
+  const source_update update = listener.state.get_future().get();
+  EXPECT_EQ(update.as_of, (store_position{.era = 4, .revision = 7}));
+  EXPECT_EQ(update.items.size(), 2u);
+}
+
+TEST(StoreClient, PagesOfTwoErasMakeNoResult) {
+  worker_threads workers;
+  two_page_store store("4", "5");
+  http_server server(workers.context, {.address = kHost, .port = kStorePort},
+                     store);
+  ASSERT_TRUE(server.Listen());
+  read_listener listener;
+  platform::store_client client(
+      workers.context, {.address = kHost, .port = kStorePort}, listener);
+  client.ReadAll();
+  EXPECT_EQ(listener.failure.get_future().get(), source_failure::kEraChanged);
+}
+
 TEST(StoreClient, TellsIncompleteResponseFromNoResponse) {
   const std::string half = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf";
   for (const bool begins : {true, false}) {
--- a/tests/view_world.cc
+++ b/tests/view_world.cc
@@ -84,18 +84,41 @@
 void simulated_store::Put(const std::string& key,
                           const std::string& value,
                           instant now) {
+  written_[key] = value;
   items_[key] = {.key = key, .revision = ++revision_, .value = value};
   history_.push_back({.key = key, .revision = revision_, .at = now});
 }
 
 void simulated_store::Remove(const std::string& key, instant now) {
+  written_[key] = std::nullopt;
   if (items_.erase(key) > 0) {
     history_.push_back({.key = key, .revision = ++revision_, .at = now});
   }
 }
 
+void simulated_store::Restore(const copy& from) {
+  items_ = from.items;
+  history_ = from.history;
+  revision_ = from.revision;
+  compacted_revision_ = std::min(compacted_revision_, revision_);
+  ++era_;
+}
+
+void simulated_store::WriteAgain(instant now) {
+  const auto written = written_;
+  for (const auto& [key, value] : written) {
+    const auto found = items_.find(key);
+    const bool listed = found != items_.end();
+    if (value && (!listed || found->second.value != *value)) {
+      Put(key, *value, now);
+    } else if (!value) {
+      Remove(key, now);
+    }
+  }
+}
+
 source_update simulated_store::AllItems() const {
-  source_update update{.as_of = {.revision = revision_}};
+  source_update update{.as_of = position()};
   for (const auto& [key, item] : items_) {
     update.items.push_back(item);
   }
@@ -103,7 +126,7 @@
 }
 
 source_update simulated_store::ChangesAfter(std::uint64_t revision) const {
-  source_update update{.as_of = {.revision = revision_}};
+  source_update update{.as_of = position()};
   for (const change& each : history_) {
     const auto found = items_.find(each.key);
     if (each.revision <= revision) {
@@ -134,7 +157,7 @@
                      .regions = Regions()},
         world.clock_, world.decoder_, *this, *this, *this);
     highest_version = 0;
-    highest_revision = 0;
+    highest_position = {};
   }
 
   void ReadAll() override {
@@ -227,7 +250,7 @@
   bool peers_partitioned = false;
   instant last_fault_at{};
   std::uint64_t highest_version = 0;
-  std::uint64_t highest_revision = 0;
+  store_position highest_position;
   // Events that arrive while the daemon is suspended.
   std::vector<std::function<void()>> deferred;
   // Last known incarnation of each peer.
@@ -351,7 +374,7 @@
 void view_world::RegisterInstance(int daemon, const std::string& state) {
   store_.Put("i/" + std::to_string(daemon),
              InstanceText(HostOf(daemon), DomainOf(daemon), state, 1,
-                          static_cast<int>(store_.revision())),
+                          ++last_sequence_),
              clock_.now);
 }
 
@@ -364,6 +387,14 @@
   last_store_fault_at_ = clock_.now;
 }
 
+void view_world::RestoreStore(const simulated_store::copy& from,
+                              duration rewrite_delay) {
+  store_.Restore(from);
+  last_store_fault_at_ = clock_.now;
+  Schedule(clock_.now + rewrite_delay,
+           [this] { store_.WriteAgain(clock_.now); });
+}
+
 void view_world::SetStorePartition(int daemon, bool partitioned) {
   nodes_[daemon]->store_partitioned = partitioned;
   NoteFault(daemon);
@@ -414,12 +445,12 @@
     const view_status status = each->keeper->Status();
     const std::string daemon_address = HostOf(each->index);
     if (status.version < each->highest_version ||
-        status.revision < each->highest_revision) {
+        status.position < each->highest_position) {
       violations_.push_back(daemon_address + " went back to version " +
                             std::to_string(status.version));
     }
     each->highest_version = status.version;
-    each->highest_revision = status.revision;
+    each->highest_position = status.position;
     const instant checked_from =
         std::max(each->last_fault_at, last_store_fault_at_) + kMinStoreContact;
     const bool has_contact =
@@ -429,7 +460,9 @@
     }
     for (const auto& change : store_.history()) {
       const bool due = clock_.now - change.at > kMaxChangeDelay;
-      if (due && change.revision > status.revision) {
+      const store_position position{.era = store_.position().era,
+                                    .revision = change.revision};
+      if (due && position > status.position) {
         violations_.push_back(
             daemon_address + " does not have revision " +
             std::to_string(change.revision) + " of " + change.key + " after " +
--- a/tests/view_world.h
+++ b/tests/view_world.h
@@ -1,11 +1,11 @@
 // A simulated fleet of view keepers with one simulated store and an injected
 // clock.
 //
-// Faults: the store is down; a daemon cannot reach the store or any peer, is
-// killed and restarted, or is suspended. CheckInvariants() finds violations:
-// the revision and the configuration version of a daemon never decrease, and
-// each daemon that has reached the store for kMinStoreContact has every change
-// within kMaxChangeDelay.
+// Faults: the store is down or restored from an older copy; a daemon cannot
+// reach the store or any peer, is killed and restarted, or is suspended.
+// CheckInvariants() finds violations: the position and the configuration
+// version of a daemon never decrease, and each daemon that has reached the
+// store for kMinStoreContact has every change within kMaxChangeDelay.
 
 #ifndef PARSLEYYARD_TESTS_VIEW_WORLD_H_
 #define PARSLEYYARD_TESTS_VIEW_WORLD_H_
@@ -49,6 +49,12 @@
     std::uint64_t revision = 0;
     instant at{};
   };
+  // What a restore brings back.
+  struct copy {
+    std::map<std::string, source_item> items;
+    std::vector<change> history;
+    std::uint64_t revision = 0;
+  };
 
   void Put(const std::string& key, const std::string& value, instant now);
   void Remove(const std::string& key, instant now);
@@ -56,16 +62,28 @@
   source_update ChangesAfter(std::uint64_t revision) const;
   void CompactHistory() { compacted_revision_ = revision_; }
   bool HasHistorySince(std::uint64_t revision) const {
-    return revision >= compacted_revision_;
+    return revision >= compacted_revision_ && revision <= revision_;
   }
+  copy Copy() const { return {items_, history_, revision_}; }
+  // Loses all changes since the copy and begins the next era.
+  void Restore(const copy& from);
+  // Writes again what the last restore lost, as the operator and the instances
+  // do.
+  void WriteAgain(instant now);
   std::uint64_t revision() const { return revision_; }
+  store_position position() const {
+    return {.era = era_, .revision = revision_};
+  }
   const std::vector<change>& history() const { return history_; }
 
  private:
   std::map<std::string, source_item> items_;
   std::vector<change> history_;
+  std::uint64_t era_ = 1;
   std::uint64_t revision_ = 1;
   std::uint64_t compacted_revision_ = 0;
+  // Last value that was written to each key; empty: removed.
+  std::map<std::string, std::optional<std::string>> written_;
 };
 
 class view_world {
@@ -91,6 +109,9 @@
   void SetSuspended(int daemon, bool suspended);
   void Kill(int daemon);
   void Start(int daemon);
+  // Takes the store back to the copy. Its writers write again what it lost
+  // after `rewrite_delay`.
+  void RestoreStore(const simulated_store::copy& from, duration rewrite_delay);
   simulated_store& store() { return store_; }
 
   const snapshot& View(int daemon) const;
@@ -123,6 +144,7 @@
   bool store_down_ = false;
   instant last_store_fault_at_{};
   std::uint64_t version_ = 0;
+  int last_sequence_ = 0;  // of the registrations
   std::uint64_t reads_ = 0;
   std::uint64_t full_reads_ = 0;  // of `reads_`
   std::vector<std::string> violations_;
--- a/wire/codec_generated.h
+++ b/wire/codec_generated.h
@@ -12,7 +12,7 @@
 namespace parsleyyard {
 
 // Format version of all messages; a peer with a different version is refused.
-inline constexpr std::uint16_t kFormatVersion = 2;
+inline constexpr std::uint16_t kFormatVersion = 3;
 
 // Any message that daemons send to each other.
 using any_message = std::variant<link_hello,
@@ -39,7 +39,8 @@
   archive(bounded_string{value.key, 200});
   archive(value.revision);
   archive(value.removed);
-  archive(value.base_revision);
+  archive(value.held);
+  archive(value.base_hash);
   archive(value.size);
   archive(bounded_string{value.packed, 1100000});
 }
@@ -49,6 +50,7 @@
   archive(bounded_string{value.root, 64});
   archive(value.cover_from);
   archive(value.cover_to);
+  archive(value.era);
   archive(value.from_revision);
   archive(value.to_revision);
   archive(value.age_ms);
