Count the time that an update waits on its way as its age

What callers see: an answer by an old view, such as a 404 for a route that was added seconds before, from a daemon that takes its view for a fresh one.

Cause: the age of an update was stamped when it was handed to the stream, and what it waited after that, in the queue of the stream, in the network and in the socket of the receiver, counted as no time.

Each copy states when it was sent by the clock of its sender. The receiver takes the shortest difference of the last minutes for no delay and adds what a message takes beyond it to its age, also for the daemons that it relays to. When this daemon reads the store itself still depends on the age without that delay: a read would take the same way.

Tests: without the delay, UpdateIsOlderByTheTimeThatItWaitedOnItsWay has an age of 10 ms in place of 3,010, and RelayedUpdateIsOlderByTheTimeThatItWaitedOnItsWay passes on 10 in place of 2,010. DoesNotForwardDuplicateUpdates... sends its third update at its time: an update that is sent once can't arrive fresh 500 ms later.

--- a/control/control.h
+++ b/control/control.h
@@ -17,6 +17,7 @@
 #ifndef PARSLEYYARD_CONTROL_CONTROL_H_
 #define PARSLEYYARD_CONTROL_CONTROL_H_
 
+#include "control/transit_clock.h"
 #include "model/model.h"
 #include "model/pause_guard.h"
 
@@ -194,6 +195,7 @@
 
 struct view_options {
   host_address address;                // address of this daemon
+  std::uint64_t incarnation = 1;       // of this daemon
   std::string region;                  // region of this host
   region_map regions;                  // regions of all failure domains
   duration watch = milliseconds(500);  // longest wait of one watch
@@ -232,7 +234,7 @@
 
   // Applies an update of a peer and relays it. If the message requests updates,
   // the peer gets them for some time.
-  void OnUpdate(const view_update& message);
+  void OnUpdate(view_update message);
   // Handles the start of a peer. Sends it the full view if this daemon's view
   // is at least `stale_after` old, as in a store outage, or if the peer waits
   // for this daemon to read the store.
@@ -253,6 +255,9 @@
   };
 
   duration Age(instant now) const { return now - confirmed_at_; }
+  // Age of the view but for what updates took on their way.
+  duration TimeSinceNews(instant now) const { return now - news_at_; }
+  void Send(const host_address& to, view_update copy) const;
   duration TakeoverAge(instant now) const;
   std::size_t Rank() const;
   bool IsListed() const;
@@ -274,7 +279,7 @@
   void ApplyRead(std::vector<source_item> items,
                  store_position as_of,
                  instant confirmed);
-  void ConfirmRevision(std::uint64_t revision, instant at);
+  void ConfirmRevision(std::uint64_t revision, instant at, instant news_at);
   bool ApplyItem(const source_item& item);
   bool ApplyRemoval(const source_item& item);
   bool ApplyValue(const source_item& item, cached_item& cached);
@@ -304,7 +309,12 @@
 
   std::map<std::string, cached_item> items_;  // by key
   std::uint64_t revision_ = 0;                // 0: no view yet
+  // When the store confirmed `revision_`, at the latest possible age.
   instant confirmed_at_{};
+  // The same for updates that took no time on their way. It decides when this
+  // daemon reads the store itself, which would be no faster.
+  instant news_at_{};
+  transit_clock transit_clock_;
   std::shared_ptr<const snapshot> view_ = std::make_shared<const snapshot>();
 
   bool read_in_flight_ = false;
--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -96,6 +96,7 @@
       transport_(transport),
       listener_(listener),
       confirmed_at_(clock.Now()),
+      news_at_(clock.Now()),
       pause_guard_(clock.Now()) {}
 
 view_status view_keeper::Status() const {
@@ -232,7 +233,7 @@
     return;
   }
   if (!active_reader_ && revision_ != 0 && !needs_catch_up_ &&
-      Age(now) >= TakeoverAge(now)) {
+      TimeSinceNews(now) >= TakeoverAge(now)) {
     active_reader_ = true;
     Report("became active reader", options_.address);
     return StartRead(now);
@@ -250,7 +251,7 @@
     return source_.ReadState();
   }
   const bool behind =
-      needs_catch_up_ || Age(now) > options_.watch + options_.pause;
+      needs_catch_up_ || TimeSinceNews(now) > options_.watch + options_.pause;
   // A watch returns each missed configuration version; a full read only the
   // latest.
   const bool many_missed_versions =
@@ -289,7 +290,7 @@
 // A view that was confirmed lately shows that the store was available, whatever
 // another daemon has seen.
 bool view_keeper::MayHaveMissedOutage(instant now) const {
-  return revision_ == 0 || Age(now) >= kStoreOutageAge;
+  return revision_ == 0 || TimeSinceNews(now) >= kStoreOutageAge;
 }
 
 // Instances whose registration expired during a store outage are kept until
@@ -297,7 +298,7 @@
 // a process pause: only a failed read shows that the store was unavailable.
 void view_keeper::HoldRemovalsAfterOutage(instant now) {
   if (revision_ != 0 && failed_since_confirmed_ &&
-      Age(now) >= kStoreOutageAge) {
+      TimeSinceNews(now) >= kStoreOutageAge) {
     removals_held_until_ = now + kReregistrationTime;
     Report("store available again", "",
            "removals are delayed so that instances can register again");
@@ -308,10 +309,13 @@
 // Results of reads
 // ---------------------------------------------------------------------------
 
-void view_keeper::ConfirmRevision(std::uint64_t revision, instant at) {
+void view_keeper::ConfirmRevision(std::uint64_t revision,
+                                  instant at,
+                                  instant news_at) {
   confirmed_at_ = revision_ == 0 ? at : std::max(confirmed_at_, at);
+  news_at_ = revision_ == 0 ? news_at : std::max(news_at_, news_at);
   revision_ = std::max(revision_, revision);
-  failed_since_confirmed_ &= Age(clock_.Now()) >= kStoreOutageAge;
+  failed_since_confirmed_ &= TimeSinceNews(clock_.Now()) >= kStoreOutageAge;
 }
 
 // A full read does not list removals: a cached item that it lacks was removed.
@@ -419,7 +423,7 @@
       update.items.push_back(PackItem(item, base));
     }
   }
-  ConfirmRevision(as_of.revision, confirmed);
+  ConfirmRevision(as_of.revision, confirmed, confirmed);
   own_read_confirmed_at_ = read_started_at_;
   if (changed) {
     PublishSnapshot();
--- a/control/view_updates.cc
+++ b/control/view_updates.cc
@@ -75,13 +75,22 @@
   return packed_item;
 }
 
+// Sends a copy of an update, whose age is the one of this moment.
+void view_keeper::Send(const host_address& to, view_update copy) const {
+  copy.sender = options_.incarnation;
+  copy.sent_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(clock_.Now())
+          .count();
+  transport_.SendUpdate(to, copy);
+}
+
 void view_keeper::Relay(const view_update& message,
                         const std::vector<relay_step>& steps) const {
   for (const relay_step& step : steps) {
     view_update copy = message;
     copy.cover_from = step.range.first;
     copy.cover_to = step.range.last;
-    transport_.SendUpdate(step.receiver, copy);
+    Send(step.receiver, copy);
   }
 }
 
@@ -131,9 +140,12 @@
   });
 }
 
-void view_keeper::OnUpdate(const view_update& message) {
+void view_keeper::OnUpdate(view_update message) {
   const instant now = clock_.Now();
   ObservePause(now);
+  const instant news_at = now - std::chrono::milliseconds(message.age_ms);
+  message.age_ms += ToMilliseconds(transit_clock_.Observe(
+      message.sender, std::chrono::milliseconds(message.sent_ms), now));
   Relay(message,
         PlanWithinRange(options_.address, options_.region, message.root,
                         {.first = message.cover_from, .last = message.cover_to},
@@ -183,7 +195,8 @@
   const bool may_have_waited =
       pause_guard_.AwaitsConfirmation(own_read_confirmed_at_, now);
   ConfirmRevision(message.to_revision,
-                  may_have_waited ? confirmed_at_ : confirmed);
+                  may_have_waited ? confirmed_at_ : confirmed,
+                  may_have_waited ? news_at_ : news_at);
   if (changed) {
     PublishSnapshot();
   }
@@ -226,7 +239,7 @@
     if (++requested <= kStartupReaders) {
       view_update request = EmptyUpdate(0);
       request.to_revision = 0;
-      transport_.SendUpdate(address, request);
+      Send(address, request);
     }
   }
 }
@@ -250,7 +263,7 @@
     view_update copy = update;
     copy.cover_from = relay_range().first;
     copy.cover_to = relay_range().last;
-    transport_.SendUpdate(address, copy);
+    Send(address, copy);
   }
 }
 
@@ -263,7 +276,7 @@
                                      IsInOwnRegion(peer) &&
                                      RankInRegion(peer) < kStartupReaders;
   if (store_unavailable || waits_for_this_daemon) {
-    transport_.SendUpdate(peer, BuildFullUpdate());
+    Send(peer, BuildFullUpdate());
   }
 }
 
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -35,8 +35,10 @@
   return regions;
 }
 
-view_options BuildViewOptions(const daemon_settings& s) {
+view_options BuildViewOptions(const daemon_settings& s,
+                              std::uint64_t incarnation) {
   return {.address = s.host.address,
+          .incarnation = incarnation,
           .region = s.host.region,
           .regions = ParseRegions(s),
           .watch = s.view.watch,
@@ -142,7 +144,7 @@
           context_,
           {.address = settings_.host.address, .port = settings_.listen.admin},
           *this),
-      control_(BuildViewOptions(settings_),
+      control_(BuildViewOptions(settings_, incarnation_),
                clock_,
                platform.decoder,
                *source_,
@@ -546,9 +548,9 @@
   } else if (const auto* cancel = std::get_if<call_cancel>(&message)) {
     const std::lock_guard lock(target_mutex_);
     target_.OnCancel(*cancel);
-  } else if (const auto* update = std::get_if<view_update>(&message)) {
+  } else if (auto* update = std::get_if<view_update>(&message)) {
     const std::lock_guard lock(control_mutex_);
-    control_.OnUpdate(*update);
+    control_.OnUpdate(std::move(*update));
     view_.SetConfirmedAt(control_.Status().confirmed_at);
   }
 }
--- a/model/messages_generated.h
+++ b/model/messages_generated.h
@@ -110,7 +110,11 @@
   std::uint64_t to_revision =
       0;  // store revision once the changes are applied; 0: no changes, the
           // originator requests updates
-  std::uint32_t age_ms = 0;  // time since the store confirmed to_revision
+  std::uint32_t age_ms =
+      0;  // time since the store confirmed to_revision, when this copy was sent
+  std::uint64_t sender = 0;  // incarnation of the daemon that sent this copy
+  std::uint64_t sent_ms =
+      0;  // when this copy was sent, by the clock of its sender
   std::uint32_t removals_held_ms = 0;  // time for which removed instances are
                                        // kept, since they may register again
   std::vector<view_item> items;        // changed items
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 namespace parsleyyard::testing {
 namespace {
 
@@ -295,6 +297,80 @@
   EXPECT_EQ(test.environment.full_reads, before + 1);
 }
 
+// Receives an update that confirms the view of `test`, sent at `sent_at`.
+void ReceiveConfirmation(keeper_with_instance& test, instant sent_at) {
+  test.keeper.OnUpdate(
+      {.root = "10.0.0.2",
+       .cover_from = 0,
+       .cover_to = std::numeric_limits<std::uint64_t>::max(),
+       .from_revision = test.store.revision(),
+       .to_revision = test.store.revision(),
+       .age_ms = 10,
+       .sender = 7,
+       .sent_ms = static_cast<std::uint64_t>(sent_at.count() / 1000)});
+}
+
+// Guards against answers by an old view that is taken for a fresh one.
+TEST(Control, UpdateIsOlderByTheTimeThatItWaitedOnItsWay) {
+  keeper_with_instance test;
+  ReceiveConfirmation(test, test.clock.now - milliseconds(12));
+  const instant sent_at = test.clock.now;
+  for (int i = 0; i < 6; ++i) {
+    test.clock.now += milliseconds(502);
+    test.keeper.Tick();
+  }
+  ReceiveConfirmation(test, sent_at);
+  EXPECT_EQ(test.keeper.Status().age, duration(milliseconds(3010)));
+}
+
+TEST(Control, RelayedUpdateIsOlderByTheTimeThatItWaitedOnItsWay) {
+  keeper_with_instance test;
+  test.store.Put("i/2", InstanceText("10.0.0.7", "domain-0"), test.clock.now);
+  test.keeper.OnWatchResult(test.store.AllItems());
+  ReceiveConfirmation(test, test.clock.now);
+  const instant sent_at = test.clock.now;
+  test.clock.now += seconds(2);
+  test.environment.sent.clear();
+  ReceiveConfirmation(test, sent_at);
+  ASSERT_FALSE(test.environment.sent.empty());
+  EXPECT_EQ(test.environment.sent[0].age_ms, 2010u);
+}
+
+// A daemon that hears of all changes late would hear no sooner from the store.
+TEST(Control, UpdatesThatWaitedOnTheirWayCauseNoReadsOfTheStore) {
+  keeper_with_instance test;
+  test.store.Put("i/2", InstanceText("10.0.0.1", "domain-0"), test.clock.now);
+  test.keeper.OnWatchResult(test.store.AllItems());
+  ReceiveConfirmation(test, test.clock.now);
+  const int before = test.environment.watches;
+  for (int i = 0; i < 20; ++i) {
+    const instant sent_at = test.clock.now - seconds(2);
+    test.clock.now += milliseconds(200);
+    ReceiveConfirmation(test, sent_at);
+    test.keeper.Tick();
+  }
+  EXPECT_EQ(test.environment.watches, before);
+}
+
+TEST(TransitClock, CountsWhatAMessageTakesBeyondTheShortestTime) {
+  transit_clock transit;
+  EXPECT_EQ(transit.Observe(1, seconds(9), seconds(20)), duration::zero());
+  EXPECT_EQ(transit.Observe(1, seconds(10), seconds(24)), duration(seconds(3)));
+  EXPECT_EQ(transit.Observe(1, seconds(20), seconds(30)), duration::zero());
+  EXPECT_EQ(transit.Observe(1, seconds(21), seconds(32)), duration(seconds(1)));
+  EXPECT_EQ(transit.Observe(2, seconds(1), seconds(33)), duration::zero())
+      << "another clock";
+}
+
+TEST(TransitClock, FollowsClocksThatDriftApart) {
+  transit_clock transit;
+  duration drift{};
+  for (instant now = seconds(100); now < seconds(4000); now += seconds(1)) {
+    drift += std::chrono::microseconds(50);
+    EXPECT_LE(transit.Observe(1, now - drift, now), duration(milliseconds(6)));
+  }
+}
+
 TEST(Control, HoldsRemovalsForPeerAfterOutage) {
   keeper_with_instance test;
   test.clock.now += seconds(5);
@@ -383,13 +459,14 @@
   view_keeper keeper({.address = "10.0.0.1"}, clock, decoder, environment,
                      environment, environment);
   keeper.OnUpdate({.root = "10.0.0.2", .to_revision = 0});
-  const view_update update{.root = "10.0.0.3", .to_revision = 5, .age_ms = 10};
+  view_update update{.root = "10.0.0.3", .to_revision = 5, .age_ms = 10};
   keeper.OnUpdate(update);
   EXPECT_EQ(environment.sent.size(), 1u);
   clock.now += milliseconds(1);
   keeper.OnUpdate(update);
   EXPECT_EQ(environment.sent.size(), 1u) << "the update is a duplicate";
   clock.now += milliseconds(500);
+  update.sent_ms = 500;
   keeper.OnUpdate(update);
   EXPECT_EQ(environment.sent.size(), 2u)
       << "the update confirms the view at a later time";
--- a/wire/codec_generated.h
+++ b/wire/codec_generated.h
@@ -12,7 +12,7 @@
 namespace parsleyyard {
 
 // Format version of all messages; a peer with a different version is refused.
-inline constexpr std::uint16_t kFormatVersion = 2;
+inline constexpr std::uint16_t kFormatVersion = 3;
 
 // Any message that daemons send to each other.
 using any_message = std::variant<link_hello,
@@ -52,6 +52,8 @@
   archive(value.from_revision);
   archive(value.to_revision);
   archive(value.age_ms);
+  archive(value.sender);
+  archive(value.sent_ms);
   archive(value.removals_held_ms);
   archive(bounded_list{value.items, 65536});
 }
