--- /dev/null
+++ b/daemon/component_options.cc
@@ -0,0 +1,63 @@
+// Options of the components, built from the settings.
+
+#include "daemon/component_options.h"
+
+#include <algorithm>
+
+namespace parsleyyard {
+
+region_map ParseRegions(const daemon_settings& settings) {
+  region_map regions;
+  for (const std::string& pair : settings.host.domains) {
+    const std::size_t colon = pair.find(':');
+    regions[pair.substr(0, colon)] = pair.substr(colon + 1);
+  }
+  return regions;
+}
+
+view_options BuildViewOptions(const daemon_settings& s) {
+  return {.address = s.host.address,
+          .region = s.host.region,
+          .regions = ParseRegions(s),
+          .watch = s.view.watch,
+          .pause = s.view.pause,
+          .stale_after = s.view.stale_after,
+          .fan_out = s.view.fan_out};
+}
+
+sender_options BuildSenderOptions(const daemon_settings& s,
+                                  const daemon_platform& platform,
+                                  std::uint64_t incarnation) {
+  return {.address = s.host.address,
+          .failure_domain = s.host.failure_domain,
+          .region = s.host.region,
+          .regions = ParseRegions(s),
+          .incarnation = incarnation,
+          .retries = platform.limits.retries};
+}
+
+target_options BuildTargetOptions(const daemon_settings& s,
+                                  const daemon_platform& platform,
+                                  std::uint64_t incarnation) {
+  return {.address = s.host.address,
+          .failure_domain = s.host.failure_domain,
+          .service = s.upstream.service,
+          .instance_port = s.upstream.instance.port,
+          .incarnation = incarnation,
+          .cold = platform.limits.cold,
+          .max_waiting_calls = s.calls.queue};
+}
+
+log_level ParseLogLevel(const daemon_settings& s) {
+  const auto found = std::find(kLogLevelNames.begin(), kLogLevelNames.end(),
+                               s.process.log_level);
+  return static_cast<log_level>(found - kLogLevelNames.begin());
+}
+
+event_log_options BuildLogOptions(const daemon_settings& s) {
+  return {.host = s.host.name.empty() ? s.host.address : s.host.name,
+          .min_level = ParseLogLevel(s),
+          .good_calls_per_second = s.process.log_good_calls};
+}
+
+}  // namespace parsleyyard
--- /dev/null
+++ b/daemon/component_options.h
@@ -0,0 +1,30 @@
+// Options of the components, built from the settings. Internal to daemon/.
+
+#ifndef PARSLEYYARD_DAEMON_COMPONENT_OPTIONS_H_
+#define PARSLEYYARD_DAEMON_COMPONENT_OPTIONS_H_
+
+#include "daemon/daemon.h"
+#include "daemon/event_log.h"
+
+namespace parsleyyard {
+
+// Returns the region of each failure domain.
+region_map ParseRegions(const daemon_settings& settings);
+
+view_options BuildViewOptions(const daemon_settings& s);
+
+sender_options BuildSenderOptions(const daemon_settings& s,
+                                  const daemon_platform& platform,
+                                  std::uint64_t incarnation);
+
+target_options BuildTargetOptions(const daemon_settings& s,
+                                  const daemon_platform& platform,
+                                  std::uint64_t incarnation);
+
+log_level ParseLogLevel(const daemon_settings& s);
+
+event_log_options BuildLogOptions(const daemon_settings& s);
+
+}  // namespace parsleyyard
+
+#endif  // PARSLEYYARD_DAEMON_COMPONENT_OPTIONS_H_
--- a/daemon/daemon_internals.h
+++ b/daemon/daemon_internals.h
@@ -19,6 +19,7 @@
 #include "daemon/daemon.h"
 #include "daemon/event_log.h"
 #include "daemon/metrics.h"
+#include "daemon/readiness_handler.h"
 #include "daemon/shared_view.h"
 #include "daemon/upstream_runner.h"
 #include "net/net.h"
@@ -45,23 +46,6 @@
   seeded_random random_;
 };
 
-// Answers readiness checks: 200 while the daemon has a configuration and is not
-// draining, otherwise 503.
-class readiness_handler : public http_handler {
- public:
-  readiness_handler(const http_dialect& dialect, const shared_view& view)
-      : dialect_(dialect), view_(view) {}
-  void BeginDrain() { draining_ = true; }
-  std::optional<http_response> OnHead(const http_request& head) override;
-  std::function<void()> OnRequest(http_request request,
-                                  response_callback reply) override;
-
- private:
-  const http_dialect& dialect_;
-  const shared_view& view_;
-  std::atomic<bool> draining_{false};
-};
-
 class daemon_internals : public view_transport,
                          public view_listener,
                          public source_listener,
--- /dev/null
+++ b/daemon/drain.cc
@@ -0,0 +1,67 @@
+// Drain: announced stop, end of the calls in flight, stop of the daemon.
+
+#include "daemon/daemon_internals.h"
+
+#include <boost/asio/post.hpp>
+
+namespace parsleyyard {
+
+namespace {
+
+constexpr duration kDrainCheckInterval = std::chrono::milliseconds(20);
+
+}  // namespace
+
+// For drain_notice after the drain begins, the stop is announced while new
+// requests are still accepted, so that callers and peers stop sending here.
+// Then the listener closes, and the calls in flight finish. The daemon stops
+// once they have, at the latest drain_timeout after the drain began.
+void daemon_internals::BeginDrain() {
+  asio::post(context_, [this] {
+    if (draining_.exchange(true)) {
+      return;
+    }
+    log_.Write(log_kind::kProcess, log_level::kInfo, "daemon", "stopping");
+    drain_started_at_ = clock_.Now();
+    readiness_handler_.BeginDrain();
+    gate_.BeginDrain();
+    {
+      const std::lock_guard lock(target_mutex_);
+      target_.BeginDrain();
+    }
+    RunPeriodically(drain_timer_, kDrainCheckInterval,
+                    &daemon_internals::ContinueDrain);
+  });
+}
+
+void daemon_internals::ContinueDrain() {
+  const duration elapsed = clock_.Now() - drain_started_at_;
+  const duration notice = settings_.calls.drain_notice;
+  if (elapsed < notice) {
+    return;
+  }
+  caller_server_.StopAccepting();
+  bool target_idle = false;
+  {
+    const std::lock_guard lock(target_mutex_);
+    target_.RefuseNewCalls();
+    target_idle = target_.idle();
+  }
+  const bool idle = target_idle && gate_.in_flight() == 0;
+  if (idle) {
+    caller_server_.CloseIdle();
+  }
+  if ((idle && caller_server_.IsClosed()) ||
+      elapsed >= settings_.calls.drain_timeout) {
+    Stop();
+  }
+}
+
+void daemon_internals::Stop() {
+  mesh_.Close();
+  drain_timer_.expires_after(2 * kDrainCheckInterval);
+  drain_timer_.async_wait(
+      [this](const boost::system::error_code&) { context_.stop(); });
+}
+
+}  // namespace parsleyyard
--- /dev/null
+++ b/daemon/peer_wiring.cc
@@ -0,0 +1,105 @@
+// Streams to peers: where they lead, when they are opened, and which component
+// receives what arrives on them.
+
+#include "daemon/component_options.h"
+#include "daemon/daemon_internals.h"
+
+#include <set>
+
+namespace parsleyyard {
+
+namespace {
+
+// Limit on the streams to peers that are opened before a call needs them.
+constexpr std::size_t kMaxPreopenedLinks = 256;
+
+}  // namespace
+
+// Returns the address to connect to for a peer. It differs from the peer's own
+// address if the peer is in another region and other_region_prefix is set.
+host_address daemon_internals::ResolveConnectAddress(
+    const host_address& peer) const {
+  const std::string& prefix = settings_.listen.other_region_prefix;
+  if (prefix.empty()) {
+    return peer;
+  }
+  const region_map regions = ParseRegions(settings_);
+  for (const auto& [id, known] : view_.Current()->instances) {
+    const bool in_other_region =
+        RegionOf(regions, known.registration.failure_domain) !=
+        settings_.host.region;
+    if (known.registration.host == peer && in_other_region) {
+      const std::size_t second_dot = peer.find('.', peer.find('.') + 1);
+      return prefix + peer.substr(second_dot);
+    }
+  }
+  return peer;
+}
+
+// Opens streams to peers before a call needs them, so that no call waits for a
+// connection. The hello of each new stream also reveals whether the peer has
+// restarted.
+void daemon_internals::OpenMissingLinks() {
+  std::set<host_address> hosts;
+  for (const auto& [id, known] : view_.Current()->instances) {
+    if (hosts.size() < kMaxPreopenedLinks && !IsSelf(known.registration.host)) {
+      hosts.insert(known.registration.host);
+    }
+  }
+  for (const host_address& host : hosts) {
+    if (!mesh_.PeerIncarnation(host)) {
+      mesh_.Open(host);
+    }
+  }
+}
+
+void daemon_internals::OnMessage(const host_address& from,
+                                 any_message message) {
+  if (auto* call = std::get_if<call_request>(&message)) {
+    auto shared = std::make_shared<const call_request>(std::move(*call));
+    const std::lock_guard lock(target_mutex_);
+    target_.OnCall(from, std::move(shared));
+  } else if (auto* answer = std::get_if<call_answer>(&message)) {
+    const std::lock_guard lock(sender_mutex_);
+    sender_.OnAnswer(from, std::move(*answer));
+  } else if (const auto* attach = std::get_if<call_attach>(&message)) {
+    const std::lock_guard lock(target_mutex_);
+    target_.OnAttach(from, *attach);
+  } else if (const auto* cancel = std::get_if<call_cancel>(&message)) {
+    const std::lock_guard lock(target_mutex_);
+    target_.OnCancel(*cancel);
+  } else if (const auto* update = std::get_if<view_update>(&message)) {
+    const std::lock_guard lock(control_mutex_);
+    control_.OnUpdate(*update);
+    view_.SetConfirmedAt(control_.Status().confirmed_at);
+  }
+}
+
+void daemon_internals::OnLinkUp(const host_address& peer,
+                                std::uint64_t incarnation) {
+  {
+    const std::lock_guard lock(control_mutex_);
+    std::uint64_t& last = peer_incarnations_[peer];
+    if (last != incarnation) {
+      last = incarnation;
+      control_.OnPeerStarted(peer);
+    }
+  }
+  const std::lock_guard lock(sender_mutex_);
+  sender_.OnLinkUp(peer, incarnation);
+}
+
+void daemon_internals::OnLinkDown(const host_address& peer) {
+  const std::lock_guard lock(sender_mutex_);
+  sender_.OnLinkDown(peer);
+}
+
+void daemon_internals::OnUndelivered(const host_address& to,
+                                     const any_message& message) {
+  if (std::holds_alternative<view_update>(message)) {
+    log_.Write(log_kind::kView, log_level::kInfo, "view",
+               "update not delivered", {{"peer", to}});
+  }
+}
+
+}  // namespace parsleyyard
