Take three jobs out of the call sender and the call target

pending_calls finds a sender's calls by handle, attempt and host; own_instance holds what the view says of the instance beside a target; BuildAnswer() states the outcome of an attempt. The three places that ended an attempt that may have run are one function now. No decision changes.

--- a/calls/call_sender.cc
+++ b/calls/call_sender.cc
@@ -1,6 +1,6 @@
 // Sender side of a call: places it, retries it and reports its result.
 
-#include "calls/call_life_cycle.h"
+#include "calls/pending_calls.h"
 #include "calls/placement.h"
 #include "calls/retry_budget.h"
 
@@ -73,36 +73,15 @@
   std::size_t size() const { return calls_.size(); }
 
  private:
-  struct pending_call {
-    std::uint64_t handle = 0;
-    call_plan plan;
-    call_request message;
-    call_life_cycle life_cycle;
-    instant deadline{};
-    instant objective{};
-    std::set<host_address> tried_hosts;
-    std::uint32_t attempts = 0;  // targets chosen so far
-    // Number of instances that the call may have reached.
-    std::uint32_t reached_instances = 0;
-    host_address target_host;
-    std::string instance;
-    std::uint64_t target_incarnation = 0;
-    std::uint64_t sequence = 0;  // number of the current attempt; 0: none yet
-    instant connect_deadline{};  // latest time for the link to open
-    instant silence_deadline{};  // from then on, the attempt counts as silent
-    instant next_reconnect{};    // time of the next try to open the link
-    bool may_have_run = false;   // an earlier attempt may have run
-    // Error response of an instance, returned if no later attempt succeeds.
-    std::optional<call_result> failed_result;
-  };
-
   void StartAttempt(pending_call& call, refusal_reason last_refusal);
   void SendAttempt(pending_call& call, std::uint64_t incarnation);
-  call_request BuildRequest(const pending_call& call, instant now) const;
   void ReleaseTarget(pending_call& call);
   void OnNotRun(pending_call& call,
                 refusal_reason reason,
                 bool reached_instance);
+  void EndAttemptThatMayHaveRun(pending_call& call,
+                                std::string_view event,
+                                refusal_reason reason);
   void OnUnknownOutcome(pending_call& call, refusal_reason reason);
   void OnInstanceFailure(pending_call& call, call_result result);
   void OnSilentAttempt(pending_call& call);
@@ -116,7 +95,6 @@
   void ReportEvent(const pending_call& call,
                    std::string_view event,
                    refusal_reason reason = refusal_reason::kNone) const;
-  std::vector<std::uint64_t> CallsOfTarget(const host_address& peer) const;
 
   sender_options options_;
   const clock_source& clock_;
@@ -127,19 +105,14 @@
   call_listener& listener_;
   placement placement_;
   retry_budget budget_;
-  std::unordered_map<std::uint64_t, pending_call> calls_;  // by handle
-  // Handle of the call, by the sequence of its current attempt.
-  std::unordered_map<std::uint64_t, std::uint64_t> handle_by_sequence_;
-  std::unordered_map<host_address, std::set<std::uint64_t>> handles_by_target_;
-  std::uint64_t last_sequence_ = 0;
+  pending_calls calls_;
 };
 
 void sender_internals::Begin(std::uint64_t handle,
                              const call_plan& plan,
                              call_request message) {
   const instant now = clock_.Now();
-  pending_call& call = calls_[handle];
-  call.handle = handle;
+  pending_call& call = calls_.Add(handle);
   call.plan = plan;
   call.message = std::move(message);
   call.deadline = now + plan.deadline;
@@ -180,12 +153,11 @@
   if (!chosen) {
     return Refuse(call, last_refusal);
   }
-  call.target_host = chosen->host;
+  calls_.SetTarget(call, chosen->host);
   call.instance = chosen->instance;
   call.tried_hosts.insert(chosen->host);
   ++call.attempts;
   call.connect_deadline = now + kConnectTimeout;
-  handles_by_target_[call.target_host].insert(call.handle);
   placement_.OnSent(call.target_host);
   call.life_cycle.Process(call_event::kTargetChosen);
   const auto incarnation = link_.PeerIncarnation(call.target_host);
@@ -196,23 +168,6 @@
   }
 }
 
-call_request sender_internals::BuildRequest(const pending_call& call,
-                                            instant now) const {
-  call_request message = call.message;
-  message.id = {.origin = options_.incarnation, .sequence = call.sequence};
-  message.target_incarnation = call.target_incarnation;
-  message.instance = call.instance;
-  message.service = call.plan.service;
-  message.route = call.plan.route;
-  message.priority = call.plan.priority;
-  message.never_repeat = call.plan.never_repeat;
-  message.deadline_ms =
-      static_cast<std::uint32_t>((call.deadline - now).count() / 1000);
-  message.objective_ms = static_cast<std::uint32_t>(
-      std::max<duration::rep>(0, (call.objective - now).count() / 1000));
-  return message;
-}
-
 // Passes the attempt to the link. From then on it may have been sent.
 void sender_internals::SendAttempt(pending_call& call,
                                    std::uint64_t incarnation) {
@@ -223,22 +178,21 @@
   if (!placement_.IsAllowed(*view_.Current(), call.plan, call.target_host)) {
     return OnNotRun(call, refusal_reason::kNoUpstream, false);
   }
-  call.sequence = ++last_sequence_;
+  calls_.AssignSequence(call);
   call.target_incarnation = incarnation;
   call.silence_deadline =
       now +
       kSilenceFactor * placement_.MeanServiceTime(*view_.Current(), call.plan);
-  handle_by_sequence_[call.sequence] = call.handle;
   call.life_cycle.Process(call_event::kAttemptSent);
   ReportEvent(call, "sent");
   link_.SendCall(call.target_host,
-                 std::make_shared<const call_request>(BuildRequest(call, now)));
+                 std::make_shared<const call_request>(
+                     BuildAttempt(call, options_.incarnation, now)));
 }
 
 void sender_internals::ReleaseTarget(pending_call& call) {
   placement_.OnEnded(call.target_host);
-  handles_by_target_[call.target_host].erase(call.handle);
-  handle_by_sequence_.erase(call.sequence);
+  calls_.ReleaseTarget(call);
 }
 
 // Takes a retry from the budget, if the limits of the call allow one. The
@@ -280,15 +234,22 @@
   StartAttempt(call, reason);
 }
 
-// Handles an attempt that may have run. Only an idempotent call may be retried.
-void sender_internals::OnUnknownOutcome(pending_call& call,
-                                        refusal_reason reason) {
+// Ends an attempt that the instance may have run and that counts as failed.
+void sender_internals::EndAttemptThatMayHaveRun(pending_call& call,
+                                                std::string_view event,
+                                                refusal_reason reason) {
   ReleaseTarget(call);
   placement_.OnOutcome(call.target_host, true);
   call.may_have_run = true;
   ++call.reached_instances;
   call.life_cycle.Process(call_event::kAttemptEnded);
-  ReportEvent(call, "outcome unknown", reason);
+  ReportEvent(call, event, reason);
+}
+
+// Handles an attempt that may have run. Only an idempotent call may be retried.
+void sender_internals::OnUnknownOutcome(pending_call& call,
+                                        refusal_reason reason) {
+  EndAttemptThatMayHaveRun(call, "outcome unknown", reason);
   if (call.plan.never_repeat || !TryAcquireRetry(call, retry_kind::kRerun)) {
     return Refuse(call, reason);
   }
@@ -299,13 +260,9 @@
 // the result in case no further attempt succeeds.
 void sender_internals::OnInstanceFailure(pending_call& call,
                                          call_result result) {
-  ReleaseTarget(call);
-  placement_.OnOutcome(call.target_host, true);
-  call.may_have_run = true;
-  ++call.reached_instances;
   call.failed_result = std::move(result);
-  call.life_cycle.Process(call_event::kAttemptEnded);
-  ReportEvent(call, "error response from instance");
+  EndAttemptThatMayHaveRun(call, "error response from instance",
+                           refusal_reason::kNone);
   if (!TryAcquireRetry(call, retry_kind::kRerun)) {
     return Finish(call, std::move(*call.failed_result));
   }
@@ -340,7 +297,7 @@
   result.attempts = call.attempts;
   result.instance = call.instance;
   const std::uint64_t handle = call.handle;
-  calls_.erase(handle);
+  calls_.Remove(handle);
   sink_.OnResult(handle, std::move(result));
 }
 
@@ -353,34 +310,24 @@
 }
 
 void sender_internals::Cancel(std::uint64_t handle) {
-  const auto found = calls_.find(handle);
-  if (found == calls_.end()) {
+  pending_call* call = calls_.Find(handle);
+  if (call == nullptr) {
     return;
   }
-  pending_call& call = found->second;
-  ReportEvent(call, "cancelled", refusal_reason::kCancelled);
-  CancelAttempt(call);
-  ReleaseTarget(call);
-  calls_.erase(found);
-}
-
-std::vector<std::uint64_t> sender_internals::CallsOfTarget(
-    const host_address& peer) const {
-  const auto handles = handles_by_target_.find(peer);
-  if (handles == handles_by_target_.end()) {
-    return {};
-  }
-  return {handles->second.begin(), handles->second.end()};
+  ReportEvent(*call, "cancelled", refusal_reason::kCancelled);
+  CancelAttempt(*call);
+  ReleaseTarget(*call);
+  calls_.Remove(handle);
 }
 
 void sender_internals::OnLinkUp(const host_address& peer,
                                 std::uint64_t incarnation) {
-  for (const std::uint64_t handle : CallsOfTarget(peer)) {
-    const auto found = calls_.find(handle);
-    if (found == calls_.end()) {
+  for (const std::uint64_t handle : calls_.HandlesAt(peer)) {
+    pending_call* found = calls_.Find(handle);
+    if (found == nullptr) {
       continue;
     }
-    pending_call& call = found->second;
+    pending_call& call = *found;
     if (call.life_cycle.state() == call_state::kConnecting) {
       SendAttempt(call, incarnation);
     } else if (call.life_cycle.state() == call_state::kAttaching &&
@@ -399,12 +346,12 @@
 }
 
 void sender_internals::OnLinkDown(const host_address& peer) {
-  for (const std::uint64_t handle : CallsOfTarget(peer)) {
-    const auto found = calls_.find(handle);
-    if (found == calls_.end()) {
+  for (const std::uint64_t handle : calls_.HandlesAt(peer)) {
+    pending_call* found = calls_.Find(handle);
+    if (found == nullptr) {
       continue;
     }
-    pending_call& call = found->second;
+    pending_call& call = *found;
     const call_state state = call.life_cycle.state();
     const bool resend_without_attach =
         state == call_state::kSent && !options_.attach;
@@ -420,13 +367,14 @@
 }
 
 void sender_internals::OnAnswer(const host_address& from, call_answer message) {
-  const auto handle = handle_by_sequence_.find(message.id.sequence);
-  if (message.id.origin != options_.incarnation ||
-      handle == handle_by_sequence_.end()) {
+  pending_call* found = message.id.origin == options_.incarnation
+                            ? calls_.FindBySequence(message.id.sequence)
+                            : nullptr;
+  if (found == nullptr) {
     placement_.OnLoad(from, message.load, "", clock_.Now());
     return;
   }
-  pending_call& call = calls_.at(handle->second);
+  pending_call& call = *found;
   placement_.OnLoad(from, message.load, call.plan.route, clock_.Now());
   if (call.target_host != from) {
     return;
@@ -472,13 +420,8 @@
     return;
   }
   CancelAttempt(call);
-  ReleaseTarget(call);
-  placement_.OnOutcome(call.target_host, true);
-  call.may_have_run = true;
-  ++call.reached_instances;
-  call.life_cycle.Process(call_event::kAttemptEnded);
-  ReportEvent(call, "no answer in time, trying another instance",
-              refusal_reason::kTimeout);
+  EndAttemptThatMayHaveRun(call, "no answer in time, trying another instance",
+                           refusal_reason::kTimeout);
   StartAttempt(call, refusal_reason::kTimeout);
 }
 
@@ -495,18 +438,12 @@
 
 void sender_internals::Tick() {
   const instant now = clock_.Now();
-  std::vector<std::uint64_t> handles;
-  handles.reserve(calls_.size());
-  for (const auto& [handle, call] : calls_) {
-    handles.push_back(handle);
-  }
-  std::sort(handles.begin(), handles.end());
-  for (const std::uint64_t handle : handles) {
-    const auto found = calls_.find(handle);
-    if (found == calls_.end()) {
+  for (const std::uint64_t handle : calls_.Handles()) {
+    pending_call* found = calls_.Find(handle);
+    if (found == nullptr) {
       continue;
     }
-    pending_call& call = found->second;
+    pending_call& call = *found;
     const call_state state = call.life_cycle.state();
     if (now >= call.deadline) {
       OnDeadline(call);
--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -1,8 +1,10 @@
 // Target side of a call: admits it, runs it at most once and keeps its answer.
 
+#include "calls/attempt_answer.h"
 #include "calls/call_table.h"
 #include "calls/cold_limiter.h"
 #include "calls/instance_watch.h"
+#include "calls/own_instance.h"
 #include "calls/wait_queue.h"
 #include "model/pause_guard.h"
 
@@ -43,6 +45,7 @@
         upstream_(upstream),
         link_(link),
         listener_(listener),
+        own_instance_(options_),
         table_(options_.max_tracked_attempts, options_.max_kept_answer_bytes),
         cold_limiter_(options_.cold, clock.Now()),
         pause_guard_(clock.Now()) {}
@@ -65,7 +68,6 @@
 
  private:
   refusal_reason FindRefusal(const call_request& message, instant now) const;
-  refusal_reason FindInstanceRefusal(const call_request& message) const;
   refusal_reason FindStartRefusal(const table_entry& call, instant now) const;
   void UpdateFromView(instant now);
   void ReportColdLimit(instant now);
@@ -94,6 +96,7 @@
   upstream_port& upstream_;
   answer_link& link_;
   target_listener& listener_;
+  own_instance own_instance_;
   call_table table_;
   wait_queue queue_;
   cold_limiter cold_limiter_;
@@ -102,16 +105,13 @@
   std::uint32_t running_ = 0;
   bool draining_ = false;
   bool refuses_new_calls_ = false;
-  std::string last_instance_;  // id of the last instance registered here
-  std::uint32_t slots_ = 1;
-  bool was_evacuated_ = false;
 };
 
 load_report target_internals::Load(const std::string& route) const {
   return {
       .running = running_,
       .waiting = static_cast<std::uint32_t>(queue_.size()),
-      .limit = slots_,
+      .limit = own_instance_.Slots(),
       .service_us = static_cast<std::uint32_t>(watch_.service_time().count()),
       .route_us = static_cast<std::uint32_t>(
           route.empty() ? 0 : watch_.ServiceTimeOf(route).count()),
@@ -141,18 +141,13 @@
   const auto view = view_.Current();
   cold_limiter_.SetService(
       view->config ? view->config->FindService(options_.service) : nullptr);
-  const known_instance* registered =
-      view->FindAt(options_.address, options_.instance_port);
-  if (registered != nullptr) {
-    last_instance_ = registered->registration.id;
-    slots_ = std::max(1U, registered->registration.slots);
+  own_instance_.Update(*view);
+  if (const known_instance* registered = own_instance_.FindRegistered(*view)) {
     cold_limiter_.OnRegistration(registered->cold_until);
   }
-  const bool evacuated = view->evacuated.contains(options_.failure_domain);
-  if (was_evacuated_ && !evacuated) {
+  if (own_instance_.EvacuationEnded()) {
     cold_limiter_.OnEvacuationEnd(now);
   }
-  was_evacuated_ = evacuated;
   ReportColdLimit(now);
 }
 
@@ -162,22 +157,6 @@
   }
 }
 
-refusal_reason target_internals::FindInstanceRefusal(
-    const call_request& message) const {
-  const auto view = view_.Current();
-  const known_instance* registered =
-      view->FindAt(options_.address, options_.instance_port);
-  if (registered == nullptr) {
-    return message.instance == last_instance_ ? refusal_reason::kLeaving
-                                              : refusal_reason::kNone;
-  }
-  if (registered->registration.id != message.instance) {
-    return refusal_reason::kWrongInstance;
-  }
-  return registered->registration.draining ? refusal_reason::kLeaving
-                                           : refusal_reason::kNone;
-}
-
 // Returns the reason for which the view or the state of the instance forbids
 // the call, or kNone. Checked on arrival and again before the call is started.
 refusal_reason target_internals::FindRefusal(const call_request& message,
@@ -186,24 +165,19 @@
     return refusal_reason::kPaused;
   }
   const auto view = view_.Current();
-  if (view->empty()) {
-    return refusal_reason::kStarting;
-  }
-  if (view->evacuated.contains(options_.failure_domain)) {
-    return refusal_reason::kFailureDomainOut;
-  }
-  if (message.service != options_.service) {
-    return refusal_reason::kNoUpstream;
+  const refusal_reason refusal = own_instance_.FindHostRefusal(*view, message);
+  if (refusal != refusal_reason::kNone) {
+    return refusal;
   }
   if (watch_.down()) {
     return refusal_reason::kUpstreamRefused;
   }
-  return FindInstanceRefusal(message);
+  return own_instance_.FindInstanceRefusal(*view, message);
 }
 
 instance_capacity target_internals::Capacity(instant now) const {
   return {.running = running_,
-          .limit = slots_,
+          .limit = own_instance_.Slots(),
           .service_time = watch_.service_time(),
           .max_start_rate = cold_limiter_.MaxRate(now)};
 }
@@ -309,7 +283,8 @@
 void target_internals::StartWaitingCalls() {
   const instant now = clock_.Now();
   pause_guard_.Observe(now);
-  while (!queue_.empty() && (running_ < slots_ || !options_.limit_admission)) {
+  while (!queue_.empty() &&
+         (running_ < own_instance_.Slots() || !options_.limit_admission)) {
     if (options_.limit_admission && !cold_limiter_.Allows(now)) {
       return;
     }
@@ -408,25 +383,7 @@
   if (!withheld) {
     watch_.OnDone(result, call->message->route, now - call->started_at, now);
   }
-  call_answer answer{.id = id,
-                     .outcome = call_outcome::kUnknown,
-                     .reason = result.timed_out ? refusal_reason::kTimeout
-                                                : refusal_reason::kUpstreamLost,
-                     .reached_instance = result.sent};
-  if (withheld) {
-    answer.outcome = call_outcome::kNotRun;
-    answer.reason = call->withheld_for;
-  } else if (!result.sent || result.not_run) {
-    answer.outcome = call_outcome::kNotRun;
-    answer.reason = result.wrong_instance ? refusal_reason::kWrongInstance
-                                          : refusal_reason::kUpstreamRefused;
-  } else if (result.complete) {
-    answer.outcome = call_outcome::kAnswer;
-    answer.reason = refusal_reason::kNone;
-    answer.status = result.status;
-    answer.headers = std::move(result.headers);
-    answer.body = std::move(result.body);
-  }
+  call_answer answer = BuildAnswer(id, std::move(result), call->withheld_for);
   if (answer.outcome != call_outcome::kAnswer) {
     ReportEvent(
         *call->message,
--- /dev/null
+++ b/calls/pending_calls.h
@@ -0,0 +1,81 @@
+// The calls of a sender that have no result yet. Internal to calls/.
+//
+// Finds a call by its handle, by the number of its current attempt and by the
+// host that the attempt goes to.
+
+#ifndef PARSLEYYARD_CALLS_PENDING_CALLS_H_
+#define PARSLEYYARD_CALLS_PENDING_CALLS_H_
+
+#include "calls/call_life_cycle.h"
+#include "calls/calls.h"
+
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace parsleyyard {
+
+struct pending_call {
+  std::uint64_t handle = 0;
+  call_plan plan;
+  call_request message;
+  call_life_cycle life_cycle;
+  instant deadline{};
+  instant objective{};
+  std::set<host_address> tried_hosts;
+  std::uint32_t attempts = 0;  // targets chosen so far
+  // Number of instances that the call may have reached.
+  std::uint32_t reached_instances = 0;
+  host_address target_host;
+  std::string instance;
+  std::uint64_t target_incarnation = 0;
+  std::uint64_t sequence = 0;  // number of the last sent attempt; 0: none yet
+  instant connect_deadline{};  // latest time for the link to open
+  instant silence_deadline{};  // from then on, the attempt counts as silent
+  instant next_reconnect{};    // time of the next try to open the link
+  bool may_have_run = false;   // an earlier attempt may have run
+  // Error response of an instance, returned if no later attempt succeeds.
+  std::optional<call_result> failed_result;
+};
+
+// Returns the message of the current attempt. `origin` is the incarnation of
+// the sender.
+call_request BuildAttempt(const pending_call& call,
+                          std::uint64_t origin,
+                          instant now);
+
+class pending_calls {
+ public:
+  pending_call& Add(std::uint64_t handle);
+  // Returns null if the call has ended. References stay valid until Remove().
+  pending_call* Find(std::uint64_t handle);
+  // Returns the call whose current attempt has that number, or null.
+  pending_call* FindBySequence(std::uint64_t sequence);
+  // Returns the handles in ascending order.
+  std::vector<std::uint64_t> Handles() const;
+  // Returns the handles of the calls whose attempt goes to that host, in
+  // ascending order.
+  std::vector<std::uint64_t> HandlesAt(const host_address& host) const;
+  std::size_t size() const { return calls_.size(); }
+
+  // Begins an attempt at that host.
+  void SetTarget(pending_call& call, const host_address& host);
+  // Gives the attempt a number that no earlier attempt had.
+  void AssignSequence(pending_call& call);
+  // Ends the attempt, which is no longer found by its number or host.
+  void ReleaseTarget(const pending_call& call);
+  // The attempt must have been released.
+  void Remove(std::uint64_t handle);
+
+ private:
+  std::unordered_map<std::uint64_t, pending_call> calls_;  // by handle
+  // Handle of the call, by the sequence of its current attempt.
+  std::unordered_map<std::uint64_t, std::uint64_t> handle_by_sequence_;
+  std::unordered_map<host_address, std::set<std::uint64_t>> handles_by_target_;
+  std::uint64_t last_sequence_ = 0;
+};
+
+}  // namespace parsleyyard
+
+#endif  // PARSLEYYARD_CALLS_PENDING_CALLS_H_
