Split net_test.cc by subject

HTTP server, HTTP client, shared view and socket peek get a file each; what both HTTP tests use is in http_fixtures.h. The tests and their names are the same; a comment that stood above the wrong test is back at its own.

--- /dev/null
+++ b/tests/http_client_test.cc
@@ -0,0 +1,310 @@
+// HTTP client on loopback: late, truncated, endless and early responses.
+
+#include "tests/http_fixtures.h"
+
+#include <boost/asio/read_until.hpp>
+
+#include <future>
+#include <thread>
+
+namespace parsleyyard {
+namespace {
+
+TEST_F(http_fixture, ClientCompletesEachExchange) {
+  http_client client(workers_.context, {.address = kHost, .port = kHttpPort});
+  for (int i = 0; i < 100; ++i) {
+    std::promise<http_exchange> done;
+    client.Request(
+        {.method = "POST", .target = "/", .body = std::string(i, 'x')},
+        {.timeout = seconds(2)},
+        [&](http_exchange exchange) { done.set_value(std::move(exchange)); });
+    const http_exchange exchange = done.get_future().get();
+    ASSERT_TRUE(exchange.sent && exchange.complete);
+    ASSERT_EQ(exchange.response.body, std::to_string(i));
+  }
+}
+
+// A server that accepts one connection and runs the test's script on it.
+class scripted_server {
+ public:
+  explicit scripted_server(std::function<void(tcp::socket&)> script)
+      : acceptor_(context_, {asio::ip::make_address_v4(kHost), kPort}),
+        thread_([this, script = std::move(script)] {
+          tcp::socket socket = acceptor_.accept();
+          script(socket);
+        }) {}
+  ~scripted_server() { thread_.join(); }
+  scripted_server(const scripted_server&) = delete;
+  scripted_server& operator=(const scripted_server&) = delete;
+
+  static constexpr std::uint16_t kPort = 18483;
+
+ private:
+  asio::io_context context_;
+  tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
+void ReadHead(tcp::socket& socket) {
+  std::string head;
+  boost::system::error_code error;
+  asio::read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", error);
+}
+
+http_exchange RequestFromScriptedServer(worker_threads& pool,
+                                        http_request request,
+                                        duration timeout = seconds(2)) {
+  http_client client(pool.context, {.address = kHost,
+                                    .port = scripted_server::kPort,
+                                    .max_body_bytes = std::size_t{4} << 20});
+  std::promise<http_exchange> done;
+  client.Request(std::move(request),
+                 {.timeout = timeout,
+                  .matches_request =
+                      [](const http_response& response) {
+                        const std::string* id =
+                            FindHeader(response.headers, "id");
+                        return id == nullptr || *id == "mine";
+                      }},
+                 [&](http_exchange e) { done.set_value(std::move(e)); });
+  return done.get_future().get();
+}
+
+TEST(HttpClient, DropsLateResponseToEarlierRequest) {
+  worker_threads pool;
+  scripted_server server([](tcp::socket& socket) {
+    ReadHead(socket);
+    WriteText(socket,
+              "HTTP/1.1 200 OK\r\nid: other\r\ncontent-length: 3\r\n\r\nold");
+    WriteText(socket,
+              "HTTP/1.1 200 OK\r\nid: mine\r\ncontent-length: 3\r\n\r\nnew");
+    ReadAll(socket);
+  });
+  const http_exchange exchange =
+      RequestFromScriptedServer(pool, {.method = "GET", .target = "/"});
+  EXPECT_TRUE(exchange.complete);
+  EXPECT_EQ(exchange.response.body, "new");
+}
+
+TEST(HttpClient, ResponseWithoutLengthIsCompleteOnlyAfterOrderlyClose) {
+  const std::string response = "HTTP/1.1 200 OK\r\nid: mine\r\n\r\nhalf";
+  for (const bool reset : {false, true}) {
+    worker_threads pool;
+    scripted_server server([&](tcp::socket& socket) {
+      ReadHead(socket);
+      WriteText(socket, response);
+      if (reset) {
+        // The client must have read what there is before the reset.
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        socket.set_option(tcp::socket::linger(true, 0));
+      }
+      socket.close();
+    });
+    const http_exchange exchange =
+        RequestFromScriptedServer(pool, {.method = "GET", .target = "/"});
+    EXPECT_EQ(exchange.complete, !reset);
+    EXPECT_TRUE(exchange.sent);
+  }
+}
+
+TEST(HttpClient, TruncatedOrInvalidResponseIsNotComplete) {
+  for (const std::string& sent_by_server :
+       {std::string("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf"),
+        std::string("garbage\r\n\r\n"), std::string()}) {
+    worker_threads pool;
+    scripted_server server([&](tcp::socket& socket) {
+      ReadHead(socket);
+      WriteText(socket, sent_by_server);
+      socket.close();
+    });
+    EXPECT_FALSE(
+        RequestFromScriptedServer(pool, {.method = "GET", .target = "/"})
+            .complete)
+        << sent_by_server;
+  }
+}
+
+const std::vector<endless_message>& EndlessResponses() {
+  static const std::string kOk = "HTTP/1.1 200 OK\r\n";
+  static const std::string kChunked =
+      kOk + "transfer-encoding: chunked\r\n\r\n";
+  static const std::vector<endless_message> kResponses = {
+      {"", "bytes that are no response"},
+      {"", "\r\n"},
+      {kOk, "x: y\r\n"},
+      {kOk + "x: ", "y"},
+      {kOk + "\r\n", "body that ends with the connection"},
+      {kOk + "content-length: 1000000000000\r\n\r\n", "body"},
+      {kChunked, "40\r\n" + std::string(64, 'b') + "\r\n"},
+      {kChunked, "0"},
+      {kChunked + "1;", "extension"},
+      {kChunked, "1;" + std::string(2000, 'x') + "\r\nb\r\n"},
+      {kChunked + "0\r\n", "x: y\r\n"},
+      {kChunked + "0\r\nx: ", "y"},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"", kOk + "id: other\r\ncontent-length: 0\r\n\r\n"},
+  };
+  return kResponses;
+}
+
+// Guards against memory without bound for an instance that sends without end.
+TEST(HttpClient, ClosesConnectionOnResponseWithoutEnd) {
+  // More than the limits of the client and all socket buffers hold.
+  constexpr std::size_t kTooManyBytes = std::size_t{32} << 20;
+  // Far more than reading up to the limits takes.
+  constexpr duration kTimeout = seconds(300);
+  for (const endless_message& response : EndlessResponses()) {
+    worker_threads pool;
+    std::size_t sent_by_server = 0;
+    http_exchange exchange;
+    {
+      scripted_server server([&](tcp::socket& socket) {
+        ReadHead(socket);
+        sent_by_server = SendEndlessly(socket, response, kTooManyBytes);
+      });
+      exchange = RequestFromScriptedServer(
+          pool, {.method = "GET", .target = "/"}, kTimeout);
+    }
+    const std::string name = response.start + " ... " + response.repeated;
+    EXPECT_TRUE(exchange.sent) << name;
+    EXPECT_FALSE(exchange.complete) << name;
+    EXPECT_FALSE(exchange.timed_out) << name;
+    EXPECT_LT(sent_by_server, kTooManyBytes) << name;
+  }
+}
+
+// Guards against memory without bound for several long bodies at once.
+TEST(HttpClient, BodiesBeyondTheirCommonBudgetAreNotRead) {
+  constexpr std::size_t kBodyBytes = std::size_t{2} << 20;
+  worker_threads pool;
+  http_client client(pool.context, {.address = kHost,
+                                    .port = scripted_server::kPort,
+                                    .max_receiving_bytes = 3 * kBodyBytes / 2});
+  asio::io_context context;
+  tcp::acceptor acceptor(
+      context, {asio::ip::make_address_v4(kHost), scripted_server::kPort});
+  std::vector<std::promise<http_exchange>> done(2);
+  std::vector<tcp::socket> sockets;
+  const std::string head =
+      "HTTP/1.1 200 OK\r\ncontent-length: " + std::to_string(kBodyBytes) +
+      "\r\n\r\n";
+  for (std::promise<http_exchange>& result : done) {
+    client.Request({.method = "GET", .target = "/"}, {.timeout = seconds(60)},
+                   [&](http_exchange e) { result.set_value(std::move(e)); });
+    sockets.push_back(acceptor.accept());
+    ReadHead(sockets.back());
+    WriteText(sockets.back(), head + std::string(kBodyBytes - 1, 'b'));
+  }
+  // Both bodies exceed the budget, so the client closes a connection.
+  std::array<char, 2> closed{};
+  for (std::size_t i = 0; i < sockets.size(); ++i) {
+    sockets[i].async_read_some(
+        asio::buffer(&closed[i], 1),
+        [](const boost::system::error_code&, std::size_t) {});
+  }
+  context.run_one();
+  int complete = 0;
+  for (std::size_t i = 0; i < sockets.size(); ++i) {
+    WriteText(sockets[i], "b");
+    const http_exchange exchange = done[i].get_future().get();
+    complete += exchange.complete ? 1 : 0;
+    EXPECT_FALSE(exchange.timed_out);
+  }
+  EXPECT_LE(complete, 1);
+}
+
+// The server responds before it has read a long body, and reads the body later.
+// The client must close the connection, since the body is not fully written.
+TEST(HttpClient, AcceptsEarlyResponseAndClosesConnection) {
+  // Exceeds the capacity of all socket buffers.
+  constexpr std::size_t kBodyBytes = std::size_t{64} << 20;
+  worker_threads pool;
+  std::promise<void> exchange_ended;
+  std::size_t bytes_after_response = 0;
+  {
+    scripted_server server([&](tcp::socket& socket) {
+      ReadHead(socket);
+      WriteText(socket,
+                "HTTP/1.1 413 Payload Too Large\r\ncontent-length: 0\r\n\r\n");
+      exchange_ended.get_future().wait();
+      bytes_after_response = ReadAll(socket).size();
+    });
+    const http_exchange exchange =
+        RequestFromScriptedServer(pool, {.method = "POST",
+                                         .target = "/",
+                                         .body = std::string(kBodyBytes, 'b')});
+    exchange_ended.set_value();
+    EXPECT_TRUE(exchange.complete);
+    EXPECT_EQ(exchange.response.status, 413);
+  }
+  EXPECT_LT(bytes_after_response, kBodyBytes)
+      << "the client must not send the rest";
+}
+
+// The process may be paused between the decision to send and the sending, so
+// the client calls `may_send` just before the first byte.
+TEST_F(http_fixture, DoesNotSendRequestIfMaySendReturnsFalse) {
+  std::atomic<bool> allowed{true};
+  http_client client(workers_.context, {.address = kHost, .port = kHttpPort});
+  const auto send_request = [&] {
+    std::promise<http_exchange> done;
+    client.Request(
+        {.method = "GET", .target = "/"},
+        {.timeout = seconds(2), .may_send = [&] { return +allowed; }},
+        [&](http_exchange exchange) { done.set_value(std::move(exchange)); });
+    return done.get_future().get();
+  };
+  EXPECT_TRUE(send_request().complete);
+  allowed = false;
+  EXPECT_FALSE(send_request().sent);
+  EXPECT_EQ(handler_.requests, 1);
+}
+
+// The caller of Request() may hold a lock that `done` takes. A daemon that was
+// paused between the decision to send and the sending deadlocked on that lock,
+// because `done` was called from within Request().
+TEST(HttpClient, NeverCallsDoneFromWithinRequest) {
+  asio::io_context context;
+  body_size_handler handler(context);
+  http_server server(context, {.address = kHost, .port = kHttpPort}, handler);
+  ASSERT_TRUE(server.Listen());
+  http_client client(context, {.address = kHost, .port = kHttpPort});
+  bool done = false;
+  client.Request({.method = "GET", .target = "/"}, {.timeout = seconds(2)},
+                 [&](const http_exchange& exchange) {
+                   done = true;
+                   EXPECT_TRUE(exchange.complete);
+                 });
+  while (!done) {
+    context.run_one();
+  }
+  bool in_request = false;
+  bool ended_in_request = false;
+  bool ended = false;
+  asio::post(context, [&] {
+    in_request = true;
+    client.Request({.method = "GET", .target = "/"},
+                   {.timeout = seconds(2), .may_send = [] { return false; }},
+                   [&](const http_exchange&) {
+                     ended = true;
+                     ended_in_request = in_request;
+                   });
+    in_request = false;
+  });
+  while (!ended) {
+    context.run_one();
+  }
+  EXPECT_FALSE(ended_in_request);
+}
+
+TEST(HttpClient, ReportsRequestAsNotSentIfConnectionIsRefused) {
+  worker_threads pool;
+  http_client client(pool.context, {.address = kHost, .port = 18499});
+  std::promise<http_exchange> done;
+  client.Request({.method = "GET", .target = "/"}, {.timeout = seconds(2)},
+                 [&](http_exchange e) { done.set_value(std::move(e)); });
+  EXPECT_FALSE(done.get_future().get().sent);
+}
+
+}  // namespace
+}  // namespace parsleyyard
