Refuse a caller's request with 100 header fields

Callers saw their connection closed without a response. Then, or if the call had been refused by the instance of its own host first, the entry daemon ended with status 3 and cut all its requests. Cause: the server accepts 100 fields and a message between daemons holds 100, but the daemon adds the field with the calling service. Encoding the message threw an exception that nothing catches. Change: the server for callers accepts 99 fields; a request with more gets a 431, which it did with 101 before. Evidence: CallerServerOptions.RequestWithMostHeaderFieldsFitsIntoAMessage failed before ("length 101 exceeds 100").

--- a/daemon/component_options.cc
+++ b/daemon/component_options.cc
@@ -6,6 +6,17 @@
 
 namespace parsleyyard {
 
+namespace {
+
+// Limit on the header fields of a message; must match schema/messages.toml.
+constexpr std::size_t kMaxMessageHeaders = 100;
+// Header fields that the dialect adds to a request of a caller.
+constexpr std::size_t kAddedHeaderFields = 1;
+constexpr std::size_t kMaxCallerHeaderFields =
+    kMaxMessageHeaders - kAddedHeaderFields;
+
+}  // namespace
+
 region_map ParseRegions(const daemon_settings& settings) {
   region_map regions;
   for (const std::string& pair : settings.host.domains) {
@@ -48,6 +59,16 @@
           .max_waiting_calls = s.calls.queue};
 }
 
+http_server_options BuildCallerServerOptions(
+    const daemon_settings& s,
+    std::function<http_limits()> limits) {
+  return {.address = s.listen.callers.address,
+          .port = s.listen.callers.port,
+          .max_header_fields = kMaxCallerHeaderFields,
+          .max_connections = s.calls.max_connections,
+          .limits = std::move(limits)};
+}
+
 log_level ParseLogLevel(const daemon_settings& s) {
   const auto found = std::find(kLogLevelNames.begin(), kLogLevelNames.end(),
                                s.process.log_level);
--- a/daemon/component_options.h
+++ b/daemon/component_options.h
@@ -5,6 +5,9 @@
 
 #include "daemon/daemon.h"
 #include "daemon/event_log.h"
+#include "net/net.h"
+
+#include <functional>
 
 namespace parsleyyard {
 
@@ -21,6 +24,11 @@
                                   const daemon_platform& platform,
                                   std::uint64_t incarnation);
 
+// `limits` is called for each request.
+http_server_options BuildCallerServerOptions(
+    const daemon_settings& s,
+    std::function<http_limits()> limits);
+
 log_level ParseLogLevel(const daemon_settings& s);
 
 event_log_options BuildLogOptions(const daemon_settings& s);
