--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -69,6 +69,7 @@
       transport_(transport),
       listener_(listener),
       confirmed_at_(clock.Now()),
+      news_at_(clock.Now()),
       pause_guard_(clock.Now()) {}
 
 view_status view_keeper::Status() const {
@@ -212,7 +213,7 @@
     return;
   }
   if (!active_reader_ && HasView() && !needs_catch_up_ &&
-      Age(now) >= TakeoverAge(now)) {
+      TimeSinceNews(now) >= TakeoverAge(now)) {
     active_reader_ = true;
     Report("became active reader", options_.address);
     return StartRead(now);
@@ -230,7 +231,7 @@
     return source_.ReadState();
   }
   const bool behind =
-      needs_catch_up_ || Age(now) > options_.watch + options_.pause;
+      needs_catch_up_ || TimeSinceNews(now) > options_.watch + options_.pause;
   // A watch returns each missed configuration version; a full read only the
   // latest.
   const bool many_missed_versions =
@@ -270,7 +271,7 @@
 // A view that was confirmed lately shows that the store was available, whatever
 // another daemon has seen.
 bool view_keeper::MayHaveMissedOutage(instant now) const {
-  return !HasView() || Age(now) >= kStoreOutageAge;
+  return !HasView() || TimeSinceNews(now) >= kStoreOutageAge;
 }
 
 void view_keeper::HoldRemovals() {
@@ -281,7 +282,8 @@
 // they had time to register again. A view can be old for other reasons, such as
 // a process pause: only a failed read shows that the store was unavailable.
 void view_keeper::HoldRemovalsAfterOutage(instant now) {
-  if (HasView() && failed_since_confirmed_ && Age(now) >= kStoreOutageAge) {
+  if (HasView() && failed_since_confirmed_ &&
+      TimeSinceNews(now) >= kStoreOutageAge) {
     HoldRemovals();
     Report("store available again", "",
            "removals are delayed so that instances can register again");
@@ -292,10 +294,13 @@
 // Results of reads
 // ---------------------------------------------------------------------------
 
-void view_keeper::ConfirmPosition(const store_position& position, instant at) {
+void view_keeper::ConfirmPosition(const store_position& position,
+                                  instant at,
+                                  instant news_at) {
   confirmed_at_ = HasView() ? std::max(confirmed_at_, at) : at;
+  news_at_ = HasView() ? std::max(news_at_, news_at) : news_at;
   position_ = HasView() ? std::max(position_, position) : position;
-  failed_since_confirmed_ &= Age(clock_.Now()) >= kStoreOutageAge;
+  failed_since_confirmed_ &= TimeSinceNews(clock_.Now()) >= kStoreOutageAge;
 }
 
 // A full read does not list removals: a cached item that it lacks was removed.
@@ -426,7 +431,7 @@
       update.items.push_back(PackItem(item, base));
     }
   }
-  ConfirmPosition(as_of, confirmed);
+  ConfirmPosition(as_of, confirmed, confirmed);
   own_read_confirmed_at_ = read_started_at_;
   if (changed) {
     PublishSnapshot();
--- a/control/view_updates.cc
+++ b/control/view_updates.cc
@@ -88,13 +88,22 @@
   return packed_item;
 }
 
+// Sends a copy of an update, whose age is the one of this moment.
+void view_keeper::Send(const host_address& to, view_update copy) const {
+  copy.sender = options_.incarnation;
+  copy.sent_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(clock_.Now())
+          .count();
+  transport_.SendUpdate(to, copy);
+}
+
 void view_keeper::Relay(const view_update& message,
                         const std::vector<relay_step>& steps) const {
   for (const relay_step& step : steps) {
     view_update copy = message;
     copy.cover_from = step.range.first;
     copy.cover_to = step.range.last;
-    transport_.SendUpdate(step.receiver, copy);
+    Send(step.receiver, copy);
   }
 }
 
@@ -151,9 +160,12 @@
   });
 }
 
-void view_keeper::OnUpdate(const view_update& message) {
+void view_keeper::OnUpdate(view_update message) {
   const instant now = clock_.Now();
   ObservePause(now);
+  const instant news_at = now - std::chrono::milliseconds(message.age_ms);
+  message.age_ms += ToMilliseconds(transit_clock_.Observe(
+      message.sender, std::chrono::milliseconds(message.sent_ms), now));
   Relay(message,
         PlanWithinRange(options_.address, options_.region, message.root,
                         {.first = message.cover_from, .last = message.cover_to},
@@ -210,7 +222,8 @@
       pause_guard_.AwaitsConfirmation(own_read_confirmed_at_, now);
   const bool may_have_waited =
       pause_guard_.AwaitsConfirmation(own_read_confirmed_at_, now);
-  ConfirmPosition(offered, may_have_waited ? confirmed_at_ : confirmed);
+  ConfirmPosition(offered, may_have_waited ? confirmed_at_ : confirmed,
+                  may_have_waited ? news_at_ : news_at);
   if (changed) {
     PublishSnapshot();
   }
@@ -249,7 +262,7 @@
 void view_keeper::SendRequest(const host_address& peer) const {
   view_update request = EmptyUpdate(position_.revision);
   request.to_revision = 0;
-  transport_.SendUpdate(peer, request);
+  Send(peer, request);
 }
 
 // A daemon whose view is of an earlier era gets the full view besides: it asks
@@ -259,7 +272,7 @@
   const bool is_behind =
       request.from_revision != 0 && HasView() && request.era < position_.era;
   if (is_behind) {
-    transport_.SendUpdate(request.root, BuildFullUpdate());
+    Send(request.root, BuildFullUpdate());
   }
 }
 
@@ -312,7 +325,7 @@
     view_update copy = update;
     copy.cover_from = relay_range().first;
     copy.cover_to = relay_range().last;
-    transport_.SendUpdate(address, copy);
+    Send(address, copy);
   }
 }
 
@@ -326,7 +339,7 @@
   const bool needs_this_daemon =
       CountPeersInRegion() > kSmallRegionPeers || config_ahead_of_store_;
   if (store_unavailable || (is_startup_reader && needs_this_daemon)) {
-    transport_.SendUpdate(peer, BuildFullUpdate());
+    Send(peer, BuildFullUpdate());
   }
 }
 
--- a/wire/codec_generated.h
+++ b/wire/codec_generated.h
@@ -54,6 +54,8 @@
   archive(value.from_revision);
   archive(value.to_revision);
   archive(value.age_ms);
+  archive(value.sender);
+  archive(value.sent_ms);
   archive(value.removals_held_ms);
   archive(bounded_list{value.items, 65536});
 }
