Log what the HTTP server rejects, and the view behind each refusal

Callers saw a 400, 404, 413 or 431, and the logs could not say why: `refused at head` had neither the status nor the age and revision of the view, and what the HTTP server ended by itself left no line and no count. Change: `refused at head` has `status`, `revision` and `age_ms`. http_handler::OnRejected() reports each request that the server ends by itself; the caller gate logs it as `rejected by server`, under the rate limit of failed calls, and counts it in parsleyyard_rejected_requests_total by status and cause. The 408 to an idle connection at a stop ends no request and is not reported. No response changes.

--- a/daemon/caller_gate.cc
+++ b/daemon/caller_gate.cc
@@ -125,15 +125,37 @@
                            .retry_after = kHeadRefusalRetryAfter};
   metrics_.OnCall(
       {.request = request, .outcome = call_outcome::kNotRun, .reason = reason});
-  const auto view = view_.Current();
+  boost::json::object fields{{"request", request},
+                             {"status", StatusFor(result)},
+                             {"reason", NameOf(reason)},
+                             {"path", PathWithoutQuery(head)}};
+  AddViewFields(fields);
   log_.Write(log_kind::kFailedCall, log_level::kInfo, "call", "refused at head",
-             {{"request", request},
-              {"reason", NameOf(reason)},
-              {"path", PathWithoutQuery(head)},
-              {"version", view->config ? view->config->version() : 0}});
+             std::move(fields));
   return BuildRefusal(result, request);
 }
 
+// Adds the state of the view that a refusal was decided with.
+void caller_gate::AddViewFields(boost::json::object& fields) const {
+  const duration age = clock_.Now() - view_.ConfirmedAt();
+  const auto view = view_.Current();
+  fields["version"] = view->config ? view->config->version() : 0;
+  fields["revision"] = view->revision;
+  fields["age_ms"] = age.count() / 1000;
+}
+
+void caller_gate::OnRejected(const http_rejection& rejection) {
+  metrics_.OnRejected(rejection.status, NameOf(rejection.cause));
+  boost::json::object fields{{"request", dialect_.RequestId(rejection.head)},
+                             {"status", rejection.status},
+                             {"reason", NameOf(rejection.cause)},
+                             {"detail", rejection.detail},
+                             {"path", PathWithoutQuery(rejection.head)}};
+  AddViewFields(fields);
+  log_.Write(log_kind::kFailedCall, log_level::kInfo, "call",
+             "rejected by server", std::move(fields));
+}
+
 std::optional<http_response> caller_gate::OnHead(const http_request& head) {
   if (const auto problem = CheckMessageLimits(head)) {
     return RefuseHead(head, *problem);
--- a/daemon/caller_gate.h
+++ b/daemon/caller_gate.h
@@ -54,6 +54,7 @@
   std::optional<http_response> OnHead(const http_request& head) override;
   std::function<void()> OnRequest(http_request request,
                                   response_callback reply) override;
+  void OnRejected(const http_rejection& rejection) override;
   void OnResult(std::uint64_t call, call_result result) override;
   // Receives the steps of the call sender. They are kept until the call ends
   // and logged if it failed or took more than one step.
@@ -77,6 +78,7 @@
                              const std::string& request) const;
   http_response RefuseHead(const http_request& head, refusal_reason reason);
   std::string RequestIdFor(const http_request& head);
+  void AddViewFields(boost::json::object& fields) const;
   void LogCallEnd(const pending_call& ended);
 
   const daemon_settings& settings_;
--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -70,6 +70,11 @@
   }
 }
 
+void metrics::OnRejected(std::uint16_t status, std::string_view cause) {
+  const std::lock_guard lock(mutex_);
+  ++rejection_counts_[{status, std::string(cause)}];
+}
+
 void metrics::OnDecision(std::string line) {
   const std::lock_guard lock(mutex_);
   decisions_.push_back(std::move(line));
@@ -90,6 +95,13 @@
          << priority << "\",outcome=\"" << NameOf(outcome) << "\",reason=\""
          << NameOf(reason) << "\"} " << count << "\n";
   }
+  page << "# HELP parsleyyard_rejected_requests_total Requests that the HTTP "
+          "server ended by itself.\n"
+       << "# TYPE parsleyyard_rejected_requests_total counter\n";
+  for (const auto& [key, count] : rejection_counts_) {
+    page << "parsleyyard_rejected_requests_total{status=\"" << key.first
+         << "\",cause=\"" << key.second << "\"} " << count << "\n";
+  }
   page << "# HELP parsleyyard_call_seconds Latency of answered calls.\n# TYPE "
           "parsleyyard_call_seconds histogram\n";
   for (const auto& [key, histogram] : latency_histograms_) {
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <tuple>
 
 namespace parsleyyard {
@@ -37,6 +38,8 @@
 
   // Counts an ended call.
   void OnCall(const call_record& record);
+  // Counts a request that the HTTP server ended by itself.
+  void OnRejected(std::uint16_t status, std::string_view cause);
   // Keeps a line about a change of the view, for FindDecisions().
   void OnDecision(std::string line);
 
@@ -56,6 +59,8 @@
 
   mutable std::mutex mutex_;  // guards all below; last in the lock order
   std::map<call_counter_key, std::uint64_t> call_counts_;
+  std::map<std::pair<std::uint16_t, std::string>, std::uint64_t>
+      rejection_counts_;  // by status and cause
   std::map<std::pair<std::string, std::uint32_t>,
            std::unique_ptr<latency_histogram>>
       latency_histograms_;                // by service and priority
--- a/net/http_server_internals.h
+++ b/net/http_server_internals.h
@@ -88,6 +88,9 @@
   void StartTimeout(duration limit);
   void CancelTimeout();
   asio::awaitable<bool> ReadRequestBody(request_parser& parser);
+  asio::awaitable<bool> Reject(http_rejection rejection,
+                               unsigned version,
+                               bool head_only);
   asio::awaitable<bool> Write(http_response response,
                               unsigned version,
                               bool keep_alive,
--- a/net/http_session.cc
+++ b/net/http_session.cc
@@ -28,9 +28,6 @@
 using tcp = asio::ip::tcp;
 constexpr auto kNothrowAwaitable = asio::as_tuple(asio::use_awaitable);
 
-constexpr const char* kRequestTimeoutText =
-    "The request did not arrive in time.";
-
 http_request CopyHead(const request_parser& parser) {
   http_request head{.method = std::string(parser.get().method_string()),
                     .target = std::string(parser.get().target())};
@@ -50,16 +47,39 @@
           .close = true};
 }
 
-// The response to a request that the parser rejected.
-http_response BuildParseErrorResponse(const beast::error_code& error) {
-  if (error == http::error::header_limit) {
-    return BuildNotRunResponse(431, "The request head is too large.");
+// Why a request is rejected whose reading ended with `error`.
+http_rejection ClassifyReadError(const beast::error_code& error,
+                                 bool timed_out) {
+  http_rejection rejection{.status = 400,
+                           .cause = rejection_cause::kMalformed,
+                           .detail = error.message()};
+  if (timed_out) {
+    rejection.status = 408;
+    rejection.cause = rejection_cause::kTooSlow;
+  } else if (error == http::error::header_limit) {
+    rejection.status = 431;
+    rejection.cause = rejection_cause::kHeadTooLarge;
+  } else if (error == http::error::body_limit) {
+    rejection.status = 413;
+    rejection.cause = rejection_cause::kBodyTooLarge;
   }
-  if (error == http::error::body_limit) {
-    return BuildNotRunResponse(413, "The request body is too large.");
+  return rejection;
+}
+
+std::string RejectionText(const http_rejection& rejection) {
+  switch (rejection.cause) {
+    case rejection_cause::kHeadTooLarge:
+      return "The request head is too large.";
+    case rejection_cause::kTooManyFields:
+      return "The request has too many header fields.";
+    case rejection_cause::kBodyTooLarge:
+      return "The request body is too large.";
+    case rejection_cause::kTooSlow:
+      return "The request did not arrive in time.";
+    case rejection_cause::kMalformed:
+      break;
   }
-  return BuildNotRunResponse(
-      400, "The request is malformed: " + error.message() + ".");
+  return "The request is malformed: " + rejection.detail + ".";
 }
 
 bool IsDisconnect(const beast::error_code& error) {
@@ -156,25 +176,24 @@
   StartTimeout(limits_.header_timeout);
   auto [head_error, head_size] = co_await http::async_read_header(
       stream_, buffer_, parser, kNothrowAwaitable);
-  if (head_error && timed_out_) {
-    co_return co_await Write(BuildNotRunResponse(408, kRequestTimeoutText), 11,
-                             false, false);
-  }
-  const bool no_request = head_error && !parser.got_some();
-  if (no_request || (head_error && IsDisconnect(head_error))) {
+  const bool no_request =
+      head_error && (!parser.got_some() || IsDisconnect(head_error));
+  if (no_request && !timed_out_) {
     co_return false;
   }
   if (head_error) {
-    co_return co_await Write(BuildParseErrorResponse(head_error), 11, false,
-                             false);
+    http_rejection rejection = ClassifyReadError(head_error, timed_out_);
+    rejection.head = CopyHead(parser);
+    co_return co_await Reject(std::move(rejection), 11, false);
   }
   const unsigned version = parser.get().version();
   http_request request = CopyHead(parser);
   const bool head_only = request.method == "HEAD";
   if (request.headers.size() > options.max_header_fields) {
-    co_return co_await Write(
-        BuildNotRunResponse(431, "The request has too many header fields."),
-        version, false, head_only);
+    http_rejection too_many{.status = 431,
+                            .cause = rejection_cause::kTooManyFields,
+                            .head = std::move(request)};
+    co_return co_await Reject(std::move(too_many), version, head_only);
   }
   std::optional<http_response> rejection = server_->handler_.OnHead(request);
   if (rejection) {
@@ -219,16 +238,25 @@
   StartTimeout(limits_.idle_timeout);
   const beast::error_code error = co_await ReadBody(
       stream_, buffer_, parser, limits_.max_body_bytes, nullptr);
-  if (error && timed_out_) {
-    co_await Write(BuildNotRunResponse(408, kRequestTimeoutText),
-                   parser.get().version(), false, false);
-  } else if (error && !IsDisconnect(error)) {
-    co_await Write(BuildParseErrorResponse(error), parser.get().version(),
-                   false, false);
+  if (error && (timed_out_ || !IsDisconnect(error))) {
+    http_rejection rejection = ClassifyReadError(error, timed_out_);
+    rejection.head = CopyHead(parser);
+    co_await Reject(std::move(rejection), parser.get().version(), false);
   }
   co_return !error;
 }
 
+// Ends a request without the handler's decision. Always false: the connection
+// is closed.
+asio::awaitable<bool> http_session::Reject(http_rejection rejection,
+                                           unsigned version,
+                                           bool head_only) {
+  server_->handler_.OnRejected(rejection);
+  co_return co_await Write(
+      BuildNotRunResponse(rejection.status, RejectionText(rejection)), version,
+      false, head_only);
+}
+
 // Passes a request to the handler and waits for the response. Empty if the
 // caller closes the connection first.
 asio::awaitable<std::optional<http_response>> http_session::CallHandler(
--- a/net/net.h
+++ b/net/net.h
@@ -22,11 +22,13 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <array>
 #include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace parsleyyard {
@@ -177,6 +179,29 @@
 // Sends the response to one request. Must be called once; thread-safe.
 using response_callback = std::function<void(http_response)>;
 
+// Why the server ends a request by itself, without the handler's decision.
+enum class rejection_cause : std::uint8_t {
+  kMalformed,
+  kHeadTooLarge,
+  kTooManyFields,
+  kBodyTooLarge,
+  kTooSlow
+};
+inline constexpr std::array<std::string_view, 5> kRejectionCauseNames = {
+    "malformed", "head_too_large", "too_many_fields", "body_too_large",
+    "too_slow"};
+constexpr std::string_view NameOf(rejection_cause cause) {
+  return kRejectionCauseNames[static_cast<std::size_t>(cause)];
+}
+
+// A request that the server ended by itself.
+struct http_rejection {
+  std::uint16_t status = 0;
+  rejection_cause cause = rejection_cause::kMalformed;
+  std::string detail;  // what the parser found wrong
+  http_request head;   // as far as it was read
+};
+
 class http_handler {
  public:
   virtual ~http_handler() = default;
@@ -188,6 +213,8 @@
   // connection before the response is there.
   virtual std::function<void()> OnRequest(http_request request,
                                           response_callback reply) = 0;
+  // The server ends a request by itself.
+  virtual void OnRejected(const http_rejection& /*rejection*/) {}
 };
 
 // Limits on what a caller sends. They may change while the server runs.
