Refuse with 404 only while the view is confirmed

Callers got a 404, which they do not repeat, for a route that the platform had added while the daemon, cut off from the store or suspended, still held the view of before. Cause: caller_gate::OnHead() and DecideHead() each looked up the route, and neither looked at the age of the view. Change: CheckHead() in calls/ decides for both. A missing route is kNoRoute (404) only if the store confirmed the view in the last 1.5 s; otherwise the new reason `stale_view`: 503, not run, retry-after 0.2 s. A route that the old view has is served as before. The gate reads the time of the confirmation before the view, so that it never belongs to a newer view. shared_view counts as unconfirmed until the first confirmation, not as confirmed at the start of the clock. Age includes the time of a suspension, since the clock counts it. Evidence: gate_fixture.RouteMissingFromOldViewGets503, RouteMissingAfterSuspensionGets503 and RouteMissingWhenBodyHasArrivedGets503IfViewIsOldByThen printed 404 instead of 503 against the code before; SharedView.IsOldBeforeTheFirstConfirmation printed 0. Plan.RouteMissingFromOldViewIsNotRefusedForGood is new with the age parameter.

--- a/calls/calls.h
+++ b/calls/calls.h
@@ -76,9 +76,21 @@
   std::map<std::string, split_state, std::less<>> states_;  // by route name
 };
 
+// Returns why the daemon may not know the configuration in force: kStarting if
+// it has none, kStaleView if the store last confirmed the view too long ago,
+// `view_age`. kNone if it knows. Only then may a request be refused for good.
+refusal_reason FindDoubt(const snapshot& view, duration view_age);
+
+// Returns the reason for which a request is refused by its head, or kNone.
+// kNoRoute is for good; the other reasons tell the caller to try again.
+refusal_reason CheckHead(const snapshot& view,
+                         duration view_age,
+                         const request_facts& facts);
+
 // Plans or refuses a request by its head, before any of the body is read. The
 // deadline is the shorter of the route's timeout and the caller's deadline.
 head_decision DecideHead(const snapshot& view,
+                         duration view_age,
                          const request_facts& facts,
                          route_splitter& splitter);
 
--- a/calls/plan.cc
+++ b/calls/plan.cc
@@ -8,6 +8,11 @@
 
 namespace {
 
+// Age of the view up to which it certainly has every change that must be in
+// force, which is every change that the store acknowledged 2 s ago or earlier.
+// The rest is for the time that a request takes to be read.
+constexpr duration kMaxSureAge = std::chrono::milliseconds(1500);
+
 bool SameTargets(const std::vector<weighted_service>& a,
                  const std::vector<weighted_service>& b) {
   return std::equal(a.begin(), a.end(), b.begin(), b.end(),
@@ -50,16 +55,36 @@
   return from.targets[best].service;
 }
 
+refusal_reason FindDoubt(const snapshot& view, duration view_age) {
+  if (view.config == nullptr) {
+    return refusal_reason::kStarting;
+  }
+  return view_age > kMaxSureAge ? refusal_reason::kStaleView
+                                : refusal_reason::kNone;
+}
+
+refusal_reason CheckHead(const snapshot& view,
+                         duration view_age,
+                         const request_facts& facts) {
+  const bool routed =
+      view.config != nullptr &&
+      view.config->FindRoute(facts.virtual_host, facts.path) != nullptr;
+  if (routed) {
+    return refusal_reason::kNone;
+  }
+  const refusal_reason doubt = FindDoubt(view, view_age);
+  return doubt == refusal_reason::kNone ? refusal_reason::kNoRoute : doubt;
+}
+
 head_decision DecideHead(const snapshot& view,
+                         duration view_age,
                          const request_facts& facts,
                          route_splitter& splitter) {
-  if (view.config == nullptr) {
-    return {.refusal = refusal_reason::kStarting};
+  const refusal_reason refusal = CheckHead(view, view_age, facts);
+  if (refusal != refusal_reason::kNone) {
+    return {.refusal = refusal};
   }
   const route* found = view.config->FindRoute(facts.virtual_host, facts.path);
-  if (found == nullptr) {
-    return {.refusal = refusal_reason::kNoRoute};
-  }
   duration deadline = found->timeout;
   if (facts.deadline > duration::zero()) {
     deadline = std::min(deadline, facts.deadline);
--- a/daemon/caller_gate.cc
+++ b/daemon/caller_gate.cc
@@ -118,7 +118,8 @@
 }
 
 http_response caller_gate::RefuseHead(const http_request& head,
-                                      refusal_reason reason) {
+                                      refusal_reason reason,
+                                      const observed_view& observed) {
   const std::string request = RequestIdFor(head);
   const call_result result{.outcome = call_outcome::kNotRun,
                            .reason = reason,
@@ -129,19 +130,31 @@
                              {"status", StatusFor(result)},
                              {"reason", NameOf(reason)},
                              {"path", PathWithoutQuery(head)}};
-  AddViewFields(fields);
+  AddViewFields(fields, observed);
   log_.Write(log_kind::kFailedCall, log_level::kInfo, "call", "refused at head",
              std::move(fields));
   return BuildRefusal(result, request);
 }
 
-// Adds the state of the view that a refusal was decided with.
-void caller_gate::AddViewFields(boost::json::object& fields) const {
-  const duration age = clock_.Now() - view_.ConfirmedAt();
-  const auto view = view_.Current();
-  fields["version"] = view->config ? view->config->version() : 0;
-  fields["revision"] = view->revision;
-  fields["age_ms"] = age.count() / 1000;
+// The time of the confirmation is read first, so that it never belongs to a
+// newer view than the one returned.
+caller_gate::observed_view caller_gate::Observe() const {
+  const instant confirmed_at = view_.ConfirmedAt();
+  auto view = view_.Current();
+  return {.view = std::move(view), .age = clock_.Now() - confirmed_at};
+}
+
+// Adds the state of the view that a refusal was decided with. The age is null
+// before anything of the store is known.
+void caller_gate::AddViewFields(boost::json::object& fields,
+                                const observed_view& observed) {
+  const snapshot& view = *observed.view;
+  fields["version"] = view.config ? view.config->version() : 0;
+  fields["revision"] = view.revision;
+  fields["age_ms"] = nullptr;
+  if (view.revision != 0) {
+    fields["age_ms"] = observed.age.count() / 1000;
+  }
 }
 
 void caller_gate::OnRejected(const http_rejection& rejection) {
@@ -151,38 +164,38 @@
                              {"reason", NameOf(rejection.cause)},
                              {"detail", rejection.detail},
                              {"path", PathWithoutQuery(rejection.head)}};
-  AddViewFields(fields);
+  AddViewFields(fields, Observe());
   log_.Write(log_kind::kFailedCall, log_level::kInfo, "call",
              "rejected by server", std::move(fields));
 }
 
 std::optional<http_response> caller_gate::OnHead(const http_request& head) {
+  const observed_view observed = Observe();
   if (const auto problem = CheckMessageLimits(head)) {
-    return RefuseHead(head, *problem);
+    return RefuseHead(head, *problem, observed);
   }
   if (refusing_) {
-    return RefuseHead(head, refusal_reason::kLeaving);
-  }
-  const auto view = view_.Current();
-  if (view->config == nullptr) {
-    return RefuseHead(head, refusal_reason::kStarting);
+    return RefuseHead(head, refusal_reason::kLeaving, observed);
   }
-  const request_facts facts = ExtractFacts(head);
-  if (view->config->FindRoute(facts.virtual_host, facts.path) == nullptr) {
-    return RefuseHead(head, refusal_reason::kNoRoute);
+  const refusal_reason refusal =
+      CheckHead(*observed.view, observed.age, ExtractFacts(head));
+  if (refusal != refusal_reason::kNone) {
+    return RefuseHead(head, refusal, observed);
   }
   return std::nullopt;
 }
 
 std::function<void()> caller_gate::OnRequest(http_request request,
                                              response_callback reply) {
+  const observed_view observed = Observe();
   head_decision decision;
   {
     const std::lock_guard lock(mutex_);
-    decision = DecideHead(*view_.Current(), ExtractFacts(request), splitter_);
+    decision = DecideHead(*observed.view, observed.age, ExtractFacts(request),
+                          splitter_);
   }
   if (decision.refusal != refusal_reason::kNone) {
-    reply(RefuseHead(request, decision.refusal));
+    reply(RefuseHead(request, decision.refusal, observed));
     return nullptr;
   }
   call_request message{.request_id = RequestIdFor(request),
--- a/daemon/caller_gate.h
+++ b/daemon/caller_gate.h
@@ -66,6 +66,11 @@
     call_record record;
     instant started_at{};
   };
+  // The view at one moment, and the time since the store confirmed it.
+  struct observed_view {
+    std::shared_ptr<const snapshot> view;
+    duration age{};
+  };
   struct call_step {
     call_event_line line;
     instant at{};
@@ -76,9 +81,13 @@
   request_facts ExtractFacts(const http_request& head) const;
   http_response BuildRefusal(const call_result& result,
                              const std::string& request) const;
-  http_response RefuseHead(const http_request& head, refusal_reason reason);
+  http_response RefuseHead(const http_request& head,
+                           refusal_reason reason,
+                           const observed_view& observed);
   std::string RequestIdFor(const http_request& head);
-  void AddViewFields(boost::json::object& fields) const;
+  observed_view Observe() const;
+  static void AddViewFields(boost::json::object& fields,
+                            const observed_view& observed);
   void LogCallEnd(const pending_call& ended);
 
   const daemon_settings& settings_;
--- a/daemon/shared_view.h
+++ b/daemon/shared_view.h
@@ -29,7 +29,8 @@
   // A mutex instead of std::atomic<std::shared_ptr>: libstdc++ 12 ends an
   // atomic read with a relaxed store, which ThreadSanitizer reports.
   mutable std::mutex mutex_;  // guards view_; last in the lock order
-  std::atomic<instant::rep> confirmed_us_{0};
+  // Before the first confirmation, a time before any other.
+  std::atomic<instant::rep> confirmed_us_{(instant::min() / 2).count()};
   std::shared_ptr<const snapshot> view_ = std::make_shared<const snapshot>();
 };
 
--- a/model/messages_generated.h
+++ b/model/messages_generated.h
@@ -55,15 +55,17 @@
   kCancelled,     // the caller disconnected
   kRetriesSpent,  // the retry budget of the service is used up
   kBadRequest,    // the request is malformed or over a limit
+  kStaleView,     // the store confirmed the view too long ago to refuse the
+                  // request for good
 };
 
-inline constexpr std::array<std::string_view, 21> kRefusalReasonNames = {
+inline constexpr std::array<std::string_view, 22> kRefusalReasonNames = {
     "none",           "no_route",         "no_upstream",   "failure_domain_out",
     "leaving",        "overloaded",       "cold",          "deadline_passed",
     "starting",       "paused",           "fenced",        "wrong_incarnation",
     "wrong_instance", "upstream_refused", "upstream_lost", "bad_answer",
     "link_lost",      "timeout",          "cancelled",     "retries_spent",
-    "bad_request",
+    "bad_request",    "stale_view",
 };
 
 constexpr std::string_view NameOf(refusal_reason value) {
--- a/tests/caller_gate_test.cc
+++ b/tests/caller_gate_test.cc
@@ -48,8 +48,7 @@
 
 TEST_F(gate_fixture, SlowRequestLeavesLineAndCount) {
   SetView({.header_timeout = milliseconds(50)});
-  const std::string response =
-      ExchangeWithoutEnd("GET /a/ HTTP/1.1\r\nhost: h\r\n");
+  const std::string response = Exchange("GET /a/ HTTP/1.1\r\nhost: h\r\n");
   EXPECT_EQ(StatusOf(response), 408);
   EXPECT_EQ(LastLine("rejected by server").at("reason").as_string(),
             "too_slow");
@@ -58,5 +57,51 @@
             std::string::npos);
 }
 
+// ---------------------------------------------------------------------------
+// Refusals for good
+// ---------------------------------------------------------------------------
+
+// Guards against a 404 for a route that was added while the store was away.
+TEST_F(gate_fixture, RouteMissingFromOldViewGets503) {
+  SetView({.age = milliseconds(1600)});
+  const std::string response = Exchange(Get("/new/"));
+  EXPECT_EQ(StatusOf(response), 503);
+  EXPECT_NE(response.find("x-parsleyyard-reason: stale_view"),
+            std::string::npos)
+      << response;
+  EXPECT_NE(response.find("Retry-After: 0.200"), std::string::npos) << response;
+  EXPECT_EQ(StatusOf(Exchange(Get("/a/"))), 200);
+  view_.SetConfirmedAt(clock_.Now());
+  EXPECT_EQ(StatusOf(Exchange(Get("/new/"))), 404);
+}
+
+// Guards against a 404 by a process that was suspended and has read nothing
+// since.
+TEST_F(gate_fixture, RouteMissingAfterSuspensionGets503) {
+  SetView({});
+  clock_.Set(clock_.Now() + seconds(3));
+  EXPECT_EQ(StatusOf(Exchange(Get("/new/"))), 503);
+}
+
+// Guards against a 404 for a body that arrives while the view grows old.
+TEST_F(gate_fixture, RouteMissingWhenBodyHasArrivedGets503IfViewIsOldByThen) {
+  SetView({});
+  asio::io_context context;
+  tcp::socket caller = Connect(context);
+  WriteText(caller,
+            "POST /a/ HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n"
+            "expect: 100-continue\r\n\r\n");
+  ReadUntil(caller, "100 Continue\r\n\r\n");
+  SetView({.prefix = "/b/", .age = seconds(2)});
+  WriteText(caller, "ok");
+  EXPECT_EQ(StatusOf(ReadUntil(caller, "stale_view")), 503);
+}
+
+// Guards against a confirmation at the start of the host's clock.
+TEST(SharedView, IsOldBeforeTheFirstConfirmation) {
+  const shared_view view;
+  EXPECT_LT(view.ConfirmedAt(), instant::zero() - seconds(3600));
+}
+
 }  // namespace
 }  // namespace parsleyyard::testing
--- a/tests/calls_test.cc
+++ b/tests/calls_test.cc
@@ -44,7 +44,7 @@
   snapshot view;
   view.config = RouteConfiguration();
   const auto plan = [&](duration deadline) {
-    return DecideHead(view,
+    return DecideHead(view, duration::zero(),
                       {.virtual_host = "shop.example",
                        .path = "/a/b/",
                        .deadline = deadline},
@@ -60,7 +60,24 @@
 TEST(Plan, RefusesAsStartingWithoutConfiguration) {
   seeded_random random;
   route_splitter splitter(random);
-  EXPECT_EQ(DecideHead({}, {}, splitter).refusal, refusal_reason::kStarting);
+  EXPECT_EQ(DecideHead({}, {}, {}, splitter).refusal,
+            refusal_reason::kStarting);
+}
+
+// Guards against a 404 for a route that an old view does not have yet.
+TEST(Plan, RouteMissingFromOldViewIsNotRefusedForGood) {
+  seeded_random random;
+  route_splitter splitter(random);
+  snapshot view;
+  view.config = RouteConfiguration();
+  const auto refusal = [&](const std::string& path, duration age) {
+    return DecideHead(view, age, {.virtual_host = "shop.example", .path = path},
+                      splitter)
+        .refusal;
+  };
+  EXPECT_EQ(refusal("/new/", milliseconds(1500)), refusal_reason::kNoRoute);
+  EXPECT_EQ(refusal("/new/", milliseconds(1501)), refusal_reason::kStaleView);
+  EXPECT_EQ(refusal("/a/", seconds(60)), refusal_reason::kNone);
 }
 
 TEST(Plan, SplitsRequestsByWeight) {
--- a/tests/gate_fixtures.h
+++ b/tests/gate_fixtures.h
@@ -11,6 +11,7 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/json.hpp>
 
 #include <array>
@@ -33,7 +34,8 @@
 };
 
 inline std::string Get(const std::string& path) {
-  return "GET " + path + " HTTP/1.1\r\nhost: h\r\nattempt-id: a1\r\n\r\n";
+  return "GET " + path +
+         " HTTP/1.1\r\nhost: h\r\nattempt-id: a1\r\nconnection: close\r\n\r\n";
 }
 
 inline std::string RepeatedFields(int count) {
@@ -65,13 +67,13 @@
 struct gate_view {
   std::uint64_t version = 1;
   std::uint64_t revision = 1;
+  std::string prefix = "/a/";
   duration age{};
   duration header_timeout = seconds(3);
   std::size_t max_body_bytes = kMaxBodyBytes;
 };
 
-// A gate that answers each call with the length of its body. The view has the
-// route /a/ of host "h".
+// A gate that answers each call with the length of its body.
 class gate_fixture : public ::testing::Test {
  protected:
   gate_fixture() {
@@ -108,7 +110,7 @@
                       {.version = set.version,
                        .routes = {{.name = "a",
                                    .virtual_host = "h",
-                                   .prefix = "/a/",
+                                   .prefix = set.prefix,
                                    .targets = {{.service = "s"}}}},
                        .services = {{.name = "s"}},
                        .limits = {.max_header_bytes = kMaxHeaderBytes,
@@ -134,26 +136,22 @@
     return socket;
   }
 
-  // Sends `bytes` and returns all that the server sends until it closes the
-  // connection.
-  static std::string ExchangeWithoutEnd(const std::string& bytes) {
-    asio::io_context context;
-    tcp::socket socket = Connect(context);
-    WriteText(socket, bytes);
+  // Returns what the server sends up to and including `end`, or all of it.
+  static std::string ReadUntil(tcp::socket& socket, const std::string& end) {
     std::string response;
     boost::system::error_code error;
-    asio::read(socket, asio::dynamic_buffer(response), error);
+    asio::read_until(socket, asio::dynamic_buffer(response), end, error);
     return response;
   }
 
-  // As above, but ends the sending side after `bytes`.
+  // Sends `bytes` and returns all that the server sends until it closes the
+  // connection.
   static std::string Exchange(const std::string& bytes) {
     asio::io_context context;
     tcp::socket socket = Connect(context);
     WriteText(socket, bytes);
-    boost::system::error_code error;
-    socket.shutdown(tcp::socket::shutdown_send, error);
     std::string response;
+    boost::system::error_code error;
     asio::read(socket, asio::dynamic_buffer(response), error);
     return response;
   }
--- a/tools/request_trace.cc
+++ b/tools/request_trace.cc
@@ -18,7 +18,7 @@
 constexpr std::int64_t kFirstServerErrorStatus = 500;
 
 // Descriptions of refusal reasons for the operator.
-constexpr std::array<std::pair<refusal_reason, std::string_view>, 18>
+constexpr std::array<std::pair<refusal_reason, std::string_view>, 19>
     kReasonDescriptions = {
         {{refusal_reason::kNoRoute,
           "no route of the configuration then in force matched its host and "
@@ -55,7 +55,10 @@
           "the link to the instance's daemon broke after it had been sent"},
          {refusal_reason::kTimeout,
           "no answer came within the route's timeout or the caller's deadline"},
-         {refusal_reason::kCancelled, "its caller went away"}}};
+         {refusal_reason::kCancelled, "its caller went away"},
+         {refusal_reason::kStaleView,
+          "no route matched, and the daemon had not heard from the store "
+          "lately"}}};
 
 std::string_view DescribeReason(std::string_view reason) {
   for (const auto& [known, description] : kReasonDescriptions) {
--- a/wire/codec_generated.h
+++ b/wire/codec_generated.h
@@ -103,7 +103,7 @@
 void serialize(Archive& archive, call_answer& value) {
   archive(value.id);
   archive(checked_enum{value.outcome, 3});
-  archive(checked_enum{value.reason, 21});
+  archive(checked_enum{value.reason, 22});
   archive(value.reached_instance);
   archive(value.status);
   archive(value.load);
