--- a/daemon/caller_gate.cc
+++ b/daemon/caller_gate.cc
@@ -118,49 +118,84 @@
 }
 
 http_response caller_gate::RefuseHead(const http_request& head,
-                                      refusal_reason reason) {
+                                      refusal_reason reason,
+                                      const observed_view& observed) {
   const std::string request = RequestIdFor(head);
   const call_result result{.outcome = call_outcome::kNotRun,
                            .reason = reason,
                            .retry_after = kHeadRefusalRetryAfter};
   metrics_.OnCall(
       {.request = request, .outcome = call_outcome::kNotRun, .reason = reason});
-  const auto view = view_.Current();
+  boost::json::object fields{{"request", request},
+                             {"status", StatusFor(result)},
+                             {"reason", NameOf(reason)},
+                             {"path", PathWithoutQuery(head)}};
+  AddViewFields(fields, observed);
   log_.Write(log_kind::kFailedCall, log_level::kInfo, "call", "refused at head",
-             {{"request", request},
-              {"reason", NameOf(reason)},
-              {"path", PathWithoutQuery(head)},
-              {"version", view->config ? view->config->version() : 0}});
+             std::move(fields));
   return BuildRefusal(result, request);
 }
 
+// The time of the confirmation is read first, so that it never belongs to a
+// newer view than the one returned.
+caller_gate::observed_view caller_gate::Observe() const {
+  const instant confirmed_at = view_.ConfirmedAt();
+  auto view = view_.Current();
+  return {.view = std::move(view), .age = clock_.Now() - confirmed_at};
+}
+
+// Adds the state of the view that a refusal was decided with. The age is null
+// before anything of the store is known.
+void caller_gate::AddViewFields(boost::json::object& fields,
+                                const observed_view& observed) {
+  const snapshot& view = *observed.view;
+  fields["version"] = view.config ? view.config->version() : 0;
+  fields["revision"] = view.revision;
+  fields["age_ms"] = nullptr;
+  if (view.revision != 0) {
+    fields["age_ms"] = observed.age.count() / 1000;
+  }
+}
+
+void caller_gate::OnRejected(const http_rejection& rejection) {
+  metrics_.OnRejected(rejection.status, NameOf(rejection.cause));
+  boost::json::object fields{{"request", dialect_.RequestId(rejection.head)},
+                             {"status", rejection.status},
+                             {"reason", NameOf(rejection.cause)},
+                             {"detail", rejection.detail},
+                             {"path", PathWithoutQuery(rejection.head)}};
+  AddViewFields(fields, Observe());
+  log_.Write(log_kind::kFailedCall, log_level::kInfo, "call",
+             "rejected by server", std::move(fields));
+}
+
 std::optional<http_response> caller_gate::OnHead(const http_request& head) {
+  const observed_view observed = Observe();
   if (const auto problem = CheckMessageLimits(head)) {
-    return RefuseHead(head, *problem);
+    return RefuseHead(head, *problem, observed);
   }
   if (refusing_) {
-    return RefuseHead(head, refusal_reason::kLeaving);
-  }
-  const auto view = view_.Current();
-  if (view->config == nullptr) {
-    return RefuseHead(head, refusal_reason::kStarting);
+    return RefuseHead(head, refusal_reason::kLeaving, observed);
   }
-  const request_facts facts = ExtractFacts(head);
-  if (view->config->FindRoute(facts.virtual_host, facts.path) == nullptr) {
-    return RefuseHead(head, refusal_reason::kNoRoute);
+  const refusal_reason refusal =
+      CheckHead(*observed.view, observed.age, ExtractFacts(head));
+  if (refusal != refusal_reason::kNone) {
+    return RefuseHead(head, refusal, observed);
   }
   return std::nullopt;
 }
 
 std::function<void()> caller_gate::OnRequest(http_request request,
                                              response_callback reply) {
+  const observed_view observed = Observe();
   head_decision decision;
   {
     const std::lock_guard lock(mutex_);
-    decision = DecideHead(*view_.Current(), ExtractFacts(request), splitter_);
+    decision = DecideHead(*observed.view, observed.age, ExtractFacts(request),
+                          splitter_);
   }
   if (decision.refusal != refusal_reason::kNone) {
-    reply(RefuseHead(request, decision.refusal));
+    reply(RefuseHead(request, decision.refusal, observed));
     return nullptr;
   }
   call_request message{.request_id = RequestIdFor(request),
