--- a/daemon/caller_gate.h
+++ b/daemon/caller_gate.h
@@ -54,6 +54,7 @@
   std::optional<http_response> OnHead(const http_request& head) override;
   std::function<void()> OnRequest(http_request request,
                                   response_callback reply) override;
+  void OnRejected(const http_rejection& rejection) override;
   void OnResult(std::uint64_t call, call_result result) override;
   // Receives the steps of the call sender. They are kept until the call ends
   // and logged if it failed or took more than one step.
@@ -65,6 +66,11 @@
     call_record record;
     instant started_at{};
   };
+  // The view at one moment, and the time since the store confirmed it.
+  struct observed_view {
+    std::shared_ptr<const snapshot> view;
+    duration age{};
+  };
   struct call_step {
     call_event_line line;
     instant at{};
@@ -75,8 +81,13 @@
   request_facts ExtractFacts(const http_request& head) const;
   http_response BuildRefusal(const call_result& result,
                              const std::string& request) const;
-  http_response RefuseHead(const http_request& head, refusal_reason reason);
+  http_response RefuseHead(const http_request& head,
+                           refusal_reason reason,
+                           const observed_view& observed);
   std::string RequestIdFor(const http_request& head);
+  observed_view Observe() const;
+  static void AddViewFields(boost::json::object& fields,
+                            const observed_view& observed);
   void LogCallEnd(const pending_call& ended);
 
   const daemon_settings& settings_;
