Refuse with 431 or 413 only what the configuration refuses

Callers got a final 431, 413 or 400 for requests within the operator's limits: before the first configuration (default limits), while the view was old (limits raised meanwhile, also between head and body), for bodies above calls.max_body but within max-body-bytes, for over 100 header fields, for a field above 8192 bytes (name 256, method 32) and for chunked bodies with much framing. Cause: the HTTP server ends these by itself, by the limits that it was given, whoever set them; and the bounds of the messages between daemons were below what max-header-bytes admits. Change: http_handler::OnRejected() may replace the response. CheckLimit() in calls/ lets 431 and 413 stand only if the view is confirmed and the limit that was applied is no lower than the configuration's; otherwise 503 with `starting`, `stale_view` or the new reason `over_bound`. Too many fields, and framing beyond the bound, which ends now in buffer_overflow like a full buffer, are always 503; a full buffer was a 400. The buffer is never made smaller than its content. Names, values, methods and targets in messages may have 64 KiB; together they stay within max-header-bytes. A daemon of an older version drops the stream on which a longer field arrives. A body over a limit that is raised while it arrives gets the 503; it is not read on. Plan.OnlyConfiguredLimitOfConfirmedViewRefusesForGood is new with its function.

--- a/calls/calls.h
+++ b/calls/calls.h
@@ -81,6 +81,19 @@
 // `view_age`. kNone if it knows. Only then may a request be refused for good.
 refusal_reason FindDoubt(const snapshot& view, duration view_age);
 
+// A size limit that a request exceeds.
+struct exceeded_limit {
+  std::size_t caller_limits::*configured = nullptr;  // the configuration's
+  std::size_t applied = 0;  // the limit that was applied to the request
+};
+
+// Returns kNone if the configuration in force refuses a request over the limit
+// for good. Otherwise the reason for which the caller may try again: kOverBound
+// if the configuration allows more than the limit that was applied.
+refusal_reason CheckLimit(const snapshot& view,
+                          duration view_age,
+                          const exceeded_limit& exceeded);
+
 // Returns the reason for which a request is refused by its head, or kNone.
 // kNoRoute is for good; the other reasons tell the caller to try again.
 refusal_reason CheckHead(const snapshot& view,
--- a/calls/plan.cc
+++ b/calls/plan.cc
@@ -63,6 +63,18 @@
                                 : refusal_reason::kNone;
 }
 
+refusal_reason CheckLimit(const snapshot& view,
+                          duration view_age,
+                          const exceeded_limit& exceeded) {
+  const refusal_reason doubt = FindDoubt(view, view_age);
+  if (doubt != refusal_reason::kNone) {
+    return doubt;
+  }
+  const std::size_t configured = view.config->limits().*exceeded.configured;
+  return exceeded.applied < configured ? refusal_reason::kOverBound
+                                       : refusal_reason::kNone;
+}
+
 refusal_reason CheckHead(const snapshot& view,
                          duration view_age,
                          const request_facts& facts) {
--- a/daemon/caller_gate.cc
+++ b/daemon/caller_gate.cc
@@ -5,10 +5,7 @@
 namespace {
 
 // Limits on message fields; must match schema/messages.toml.
-constexpr std::size_t kMaxTargetBytes = 8192;
-constexpr std::size_t kMaxHeaderNameBytes = 256;
-constexpr std::size_t kMaxHeaderValueBytes = 8192;
-constexpr std::size_t kMaxMethodBytes = 32;
+constexpr std::size_t kMaxHeadFieldBytes = 65536;
 constexpr std::size_t kMaxRequestIdBytes = 200;
 // Retry-after for a request that is refused by its head, for example while
 // the daemon has no configuration yet.
@@ -37,6 +34,30 @@
   return result.reason == refusal_reason::kTimeout ? 504 : 502;
 }
 
+// Returns the reason for which a request that the HTTP server rejected may be
+// sent again, or kNone if the rejection is right as it is.
+refusal_reason CheckRejection(const http_rejection& rejection,
+                              const snapshot& view,
+                              duration view_age) {
+  switch (rejection.cause) {
+    case rejection_cause::kHeadTooLarge:
+      return CheckLimit(view, view_age,
+                        {.configured = &caller_limits::max_header_bytes,
+                         .applied = rejection.limits.max_header_bytes});
+    case rejection_cause::kBodyTooLarge:
+      return CheckLimit(view, view_age,
+                        {.configured = &caller_limits::max_body_bytes,
+                         .applied = rejection.limits.max_body_bytes});
+    case rejection_cause::kTooManyFields:
+    case rejection_cause::kFramingTooLarge:
+      return refusal_reason::kOverBound;
+    case rejection_cause::kMalformed:
+    case rejection_cause::kTooSlow:
+      break;
+  }
+  return refusal_reason::kNone;
+}
+
 std::string PathWithoutQuery(const http_request& head) {
   return head.target.substr(0, head.target.find('?'));
 }
@@ -81,14 +102,16 @@
 // messages between daemons.
 std::optional<refusal_reason> caller_gate::CheckMessageLimits(
     const http_request& head) const {
-  const bool target_fits =
-      head.target.starts_with('/') && head.target.size() <= kMaxTargetBytes;
-  bool fits = target_fits && head.method.size() <= kMaxMethodBytes;
+  if (!head.target.starts_with('/')) {
+    return refusal_reason::kBadRequest;
+  }
+  bool fits = head.target.size() <= kMaxHeadFieldBytes &&
+              head.method.size() <= kMaxHeadFieldBytes;
   for (const call_header& header : head.headers) {
-    fits = fits && header.name.size() <= kMaxHeaderNameBytes &&
-           header.value.size() <= kMaxHeaderValueBytes;
+    fits = fits && header.name.size() <= kMaxHeadFieldBytes &&
+           header.value.size() <= kMaxHeadFieldBytes;
   }
-  return fits ? std::nullopt : std::optional(refusal_reason::kBadRequest);
+  return fits ? std::nullopt : std::optional(refusal_reason::kOverBound);
 }
 
 request_facts caller_gate::ExtractFacts(const http_request& head) const {
@@ -157,16 +180,29 @@
   }
 }
 
-void caller_gate::OnRejected(const http_rejection& rejection) {
-  metrics_.OnRejected(rejection.status, NameOf(rejection.cause));
+std::optional<http_response> caller_gate::OnRejected(
+    const http_rejection& rejection) {
+  const observed_view observed = Observe();
+  const call_result result{
+      .outcome = call_outcome::kNotRun,
+      .reason = CheckRejection(rejection, *observed.view, observed.age),
+      .retry_after = kHeadRefusalRetryAfter};
+  const bool replaced = result.reason != refusal_reason::kNone;
+  const std::uint16_t status = replaced ? StatusFor(result) : rejection.status;
+  metrics_.OnRejected(status, NameOf(rejection.cause));
   boost::json::object fields{{"request", dialect_.RequestId(rejection.head)},
-                             {"status", rejection.status},
+                             {"status", status},
                              {"reason", NameOf(rejection.cause)},
+                             {"because", NameOf(result.reason)},
                              {"detail", rejection.detail},
                              {"path", PathWithoutQuery(rejection.head)}};
-  AddViewFields(fields, Observe());
+  AddViewFields(fields, observed);
   log_.Write(log_kind::kFailedCall, log_level::kInfo, "call",
              "rejected by server", std::move(fields));
+  if (!replaced) {
+    return std::nullopt;
+  }
+  return BuildRefusal(result, RequestIdFor(rejection.head));
 }
 
 std::optional<http_response> caller_gate::OnHead(const http_request& head) {
--- a/daemon/caller_gate.h
+++ b/daemon/caller_gate.h
@@ -54,7 +54,8 @@
   std::optional<http_response> OnHead(const http_request& head) override;
   std::function<void()> OnRequest(http_request request,
                                   response_callback reply) override;
-  void OnRejected(const http_rejection& rejection) override;
+  std::optional<http_response> OnRejected(
+      const http_rejection& rejection) override;
   void OnResult(std::uint64_t call, call_result result) override;
   // Receives the steps of the call sender. They are kept until the call ends
   // and logged if it failed or took more than one step.
--- a/net/http_session.cc
+++ b/net/http_session.cc
@@ -62,6 +62,9 @@
   } else if (error == http::error::body_limit) {
     rejection.status = 413;
     rejection.cause = rejection_cause::kBodyTooLarge;
+  } else if (error == http::error::buffer_overflow) {
+    rejection.status = 503;
+    rejection.cause = rejection_cause::kFramingTooLarge;
   }
   return rejection;
 }
@@ -74,6 +77,8 @@
       return "The request has too many header fields.";
     case rejection_cause::kBodyTooLarge:
       return "The request body is too large.";
+    case rejection_cause::kFramingTooLarge:
+      return "The framing of the request body is too large.";
     case rejection_cause::kTooSlow:
       return "The request did not arrive in time.";
     case rejection_cause::kMalformed:
@@ -169,7 +174,9 @@
     co_return false;
   }
   limits_ = options.limits();
-  buffer_.max_size(std::max(kMaxBufferedBytes, limits_.max_header_bytes));
+  // The buffer may hold pipelined requests that arrived under larger limits.
+  buffer_.max_size(
+      std::max({kMaxBufferedBytes, limits_.max_header_bytes, buffer_.size()}));
   request_parser parser;
   parser.header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
   parser.body_limit(limits_.max_body_bytes);
@@ -251,10 +258,14 @@
 asio::awaitable<bool> http_session::Reject(http_rejection rejection,
                                            unsigned version,
                                            bool head_only) {
-  server_->handler_.OnRejected(rejection);
-  co_return co_await Write(
-      BuildNotRunResponse(rejection.status, RejectionText(rejection)), version,
-      false, head_only);
+  rejection.limits = limits_;
+  std::optional<http_response> response =
+      server_->handler_.OnRejected(rejection);
+  if (!response) {
+    response = BuildNotRunResponse(rejection.status, RejectionText(rejection));
+  }
+  response->close = true;
+  co_return co_await Write(std::move(*response), version, false, head_only);
 }
 
 // Passes a request to the handler and waits for the response. Empty if the
--- a/net/net.h
+++ b/net/net.h
@@ -179,17 +179,30 @@
 // Sends the response to one request. Must be called once; thread-safe.
 using response_callback = std::function<void(http_response)>;
 
+// Limits on what a caller sends. They may change while the server runs.
+struct http_limits {
+  std::size_t max_header_bytes = 16384;  // request head; status 431 above
+  std::size_t max_body_bytes = 1 << 20;  // request body; status 413 above
+  // First byte to the end of the head; status 408 above.
+  duration header_timeout = seconds(30);
+  // Longest wait for the next request, after which the connection is closed.
+  // Also the time limit for reading a body (status 408 above) and for writing a
+  // response.
+  duration idle_timeout = seconds(30);
+};
+
 // Why the server ends a request by itself, without the handler's decision.
 enum class rejection_cause : std::uint8_t {
   kMalformed,
   kHeadTooLarge,
   kTooManyFields,
   kBodyTooLarge,
+  kFramingTooLarge,  // what surrounds the content of a chunked body
   kTooSlow
 };
-inline constexpr std::array<std::string_view, 5> kRejectionCauseNames = {
-    "malformed", "head_too_large", "too_many_fields", "body_too_large",
-    "too_slow"};
+inline constexpr std::array<std::string_view, 6> kRejectionCauseNames = {
+    "malformed",      "head_too_large",    "too_many_fields",
+    "body_too_large", "framing_too_large", "too_slow"};
 constexpr std::string_view NameOf(rejection_cause cause) {
   return kRejectionCauseNames[static_cast<std::size_t>(cause)];
 }
@@ -200,6 +213,7 @@
   rejection_cause cause = rejection_cause::kMalformed;
   std::string detail;  // what the parser found wrong
   http_request head;   // as far as it was read
+  http_limits limits;  // limits for this request
 };
 
 class http_handler {
@@ -213,20 +227,13 @@
   // connection before the response is there.
   virtual std::function<void()> OnRequest(http_request request,
                                           response_callback reply) = 0;
-  // The server ends a request by itself.
-  virtual void OnRejected(const http_rejection& /*rejection*/) {}
-};
-
-// Limits on what a caller sends. They may change while the server runs.
-struct http_limits {
-  std::size_t max_header_bytes = 16384;  // request head; status 431 above
-  std::size_t max_body_bytes = 1 << 20;  // request body; status 413 above
-  // First byte to the end of the head; status 408 above.
-  duration header_timeout = seconds(30);
-  // Longest wait for the next request, after which the connection is closed.
-  // Also the time limit for reading a body (status 408 above) and for writing a
-  // response.
-  duration idle_timeout = seconds(30);
+  // The server ends a request by itself. A returned response replaces the
+  // server's own, which has the status of `rejection`. The connection is
+  // closed.
+  virtual std::optional<http_response> OnRejected(
+      const http_rejection& /*rejection*/) {
+    return std::nullopt;
+  }
 };
 
 struct http_server_options {
--- a/net/read_body.h
+++ b/net/read_body.h
@@ -56,9 +56,9 @@
 };
 
 // Reads the rest of a message, whose head is in `parser`. Fails with
-// http::error::body_limit if the framing of a chunked body takes as many bytes
-// as the largest body, whose size is `max_body_bytes`, or if `budget` is used
-// up; null: no budget.
+// http::error::buffer_overflow if the framing of a chunked body takes as many
+// bytes as the largest body, whose size is `max_body_bytes`, and with
+// http::error::body_limit if `budget` is used up; null: no budget.
 template <class Parser>
 boost::asio::awaitable<boost::beast::error_code> ReadBody(
     boost::beast::tcp_stream& stream,
@@ -78,9 +78,12 @@
     result = error;
     received += size;
     const bool within_budget = budget == nullptr || budget->Take(size);
-    if (!result && (received > max_received || !within_budget)) {
+    if (!result && !within_budget) {
       result = http::error::body_limit;
     }
+    if (!result && received > max_received) {
+      result = http::error::buffer_overflow;
+    }
   }
   if (budget != nullptr) {
     budget->Return(received);
--- a/tests/calls_test.cc
+++ b/tests/calls_test.cc
@@ -80,6 +80,21 @@
   EXPECT_EQ(refusal("/a/", seconds(60)), refusal_reason::kNone);
 }
 
+// Guards against a 413 for a body that the configuration in force allows.
+TEST(Plan, OnlyConfiguredLimitOfConfirmedViewRefusesForGood) {
+  snapshot view;
+  const auto check = [&](std::size_t applied, duration age) {
+    return CheckLimit(
+        view, age,
+        {.configured = &caller_limits::max_body_bytes, .applied = applied});
+  };
+  EXPECT_EQ(check(1 << 20, {}), refusal_reason::kStarting);
+  view.config = RouteConfiguration();
+  EXPECT_EQ(check(1 << 20, {}), refusal_reason::kNone);
+  EXPECT_EQ(check((1 << 20) - 1, {}), refusal_reason::kOverBound);
+  EXPECT_EQ(check(1 << 20, seconds(2)), refusal_reason::kStaleView);
+}
+
 TEST(Plan, SplitsRequestsByWeight) {
   seeded_random random;
   route_splitter splitter(random);
--- a/tools/request_trace.cc
+++ b/tools/request_trace.cc
@@ -18,7 +18,7 @@
 constexpr std::int64_t kFirstServerErrorStatus = 500;
 
 // Descriptions of refusal reasons for the operator.
-constexpr std::array<std::pair<refusal_reason, std::string_view>, 19>
+constexpr std::array<std::pair<refusal_reason, std::string_view>, 20>
     kReasonDescriptions = {
         {{refusal_reason::kNoRoute,
           "no route of the configuration then in force matched its host and "
@@ -58,7 +58,10 @@
          {refusal_reason::kCancelled, "its caller went away"},
          {refusal_reason::kStaleView,
           "no route matched, and the daemon had not heard from the store "
-          "lately"}}};
+          "lately"},
+         {refusal_reason::kOverBound,
+          "it was over a bound of the daemon that the configuration does not "
+          "set"}}};
 
 std::string_view DescribeReason(std::string_view reason) {
   for (const auto& [known, description] : kReasonDescriptions) {
--- a/wire/codec_generated.h
+++ b/wire/codec_generated.h
@@ -66,8 +66,8 @@
 
 template <class Archive>
 void serialize(Archive& archive, call_header& value) {
-  archive(bounded_string{value.name, 256});
-  archive(bounded_string{value.value, 8192});
+  archive(bounded_string{value.name, 65536});
+  archive(bounded_string{value.value, 65536});
 }
 
 template <class Archive>
@@ -82,8 +82,8 @@
   archive(value.never_repeat);
   archive(value.deadline_ms);
   archive(value.objective_ms);
-  archive(bounded_string{value.method, 32});
-  archive(bounded_string{value.target, 8192});
+  archive(bounded_string{value.method, 65536});
+  archive(bounded_string{value.target, 65536});
   archive(bounded_list{value.headers, 100});
   archive(bounded_string{value.body, 12000000});
 }
@@ -103,7 +103,7 @@
 void serialize(Archive& archive, call_answer& value) {
   archive(value.id);
   archive(checked_enum{value.outcome, 3});
-  archive(checked_enum{value.reason, 22});
+  archive(checked_enum{value.reason, 23});
   archive(value.reached_instance);
   archive(value.status);
   archive(value.load);
