Serve requests with an absolute target

Callers that named the host in the request line (`GET http://host/path`) got a final 400 `bad_request`, and so did `OPTIONS *`, although HTTP/1.1 allows both. Cause: caller_gate refused every target that does not begin with a slash. Change: the HTTP server turns an absolute target into path and query and puts its host into the Host field, as HTTP/1.1 asks. A target without a path is looked up like any other: no route matches it, so that it gets a 404 from a confirmed view and a 503 otherwise. The gate gives `bad_request` no more. Evidence: against the code before, gate_fixture.ProperRequestsAreServed and AbsoluteTargetIsPassedOnAsPathAndHost printed 400 instead of 200, TargetsWithoutPathAreMatchedAgainstRoutes 400 instead of 404 and 503. The other proper requests in the former, and PipelinedRequestsBeyondTheBufferAreAllServed, were served before. Not changed: an empty line before the request line and a version HTTP/1.2 get a 400 from the parser.

--- a/daemon/caller_gate.cc
+++ b/daemon/caller_gate.cc
@@ -16,17 +16,12 @@
 constexpr std::string_view kReasonHeader =
     "x-parsleyyard-reason";  // a refusal_reason; set if there is no answer
 
-// Returns the HTTP status for a result without an answer. Apart from 404 and
-// 400, a call that has not run always gets 503, whatever the reason, which
-// tells the caller that it may retry.
+// Returns the HTTP status for a result without an answer. Apart from 404, a
+// call that has not run always gets 503, whatever the reason, which tells the
+// caller that it may retry.
 std::uint16_t StatusFor(const call_result& result) {
-  switch (result.reason) {
-    case refusal_reason::kNoRoute:
-      return 404;
-    case refusal_reason::kBadRequest:
-      return 400;
-    default:
-      break;
+  if (result.reason == refusal_reason::kNoRoute) {
+    return 404;
   }
   if (result.outcome == call_outcome::kNotRun) {
     return 503;
@@ -102,9 +97,6 @@
 // messages between daemons.
 std::optional<refusal_reason> caller_gate::CheckMessageLimits(
     const http_request& head) const {
-  if (!head.target.starts_with('/')) {
-    return refusal_reason::kBadRequest;
-  }
   bool fits = head.target.size() <= kMaxHeadFieldBytes &&
               head.method.size() <= kMaxHeadFieldBytes;
   for (const call_header& header : head.headers) {
--- a/net/http_session.cc
+++ b/net/http_session.cc
@@ -28,6 +28,26 @@
 using tcp = asio::ip::tcp;
 constexpr auto kNothrowAwaitable = asio::as_tuple(asio::use_awaitable);
 
+// Turns a target in absolute form, which names the host too, into path and
+// query. That host replaces the one of the field.
+void ConvertToOriginForm(http_request& head) {
+  constexpr std::string_view kScheme = "http://";
+  const std::string_view target = head.target;
+  if (!beast::iequals(target.substr(0, kScheme.size()), kScheme)) {
+    return;
+  }
+  const std::string_view rest = target.substr(kScheme.size());
+  const std::size_t host_size = std::min(rest.find_first_of("/?"), rest.size());
+  const std::string host(rest.substr(0, host_size));
+  std::string path(rest.substr(host_size));
+  if (!path.starts_with('/')) {
+    const bool whole_server = path.empty() && head.method == "OPTIONS";
+    path = (whole_server ? '*' : '/') + path;
+  }
+  head.target = std::move(path);
+  SetHeader(head.headers, "Host", host);
+}
+
 http_request CopyHead(const request_parser& parser) {
   http_request head{.method = std::string(parser.get().method_string()),
                     .target = std::string(parser.get().target())};
@@ -35,6 +55,7 @@
     head.headers.push_back({.name = std::string(field.name_string()),
                             .value = std::string(field.value())});
   }
+  ConvertToOriginForm(head);
   return head;
 }
 
--- a/tests/caller_gate_test.cc
+++ b/tests/caller_gate_test.cc
@@ -179,6 +179,83 @@
   EXPECT_EQ(StatusOf(Exchange(PostByteByByte(kBodyBytes / 2))), 200);
 }
 
+// ---------------------------------------------------------------------------
+// Proper requests
+// ---------------------------------------------------------------------------
+
+struct proper_request {
+  std::string head;  // without host and connection, which are added
+  std::string body;
+};
+
+// Guards against a 400 for what HTTP/1.1 allows.
+TEST_F(gate_fixture, ProperRequestsAreServed) {
+  SetView({});
+  const std::string chunked = "\r\ntransfer-encoding: chunked";
+  const std::vector<proper_request> requests = {
+      {"GET http://h/a/x?q=1 HTTP/1.1", ""},
+      {"GET HTTP://H:8080/a/x HTTP/1.1", ""},
+      {"OPTIONS /a/ HTTP/1.1", ""},
+      {"HEAD /a/ HTTP/1.1", ""},
+      {"A-METHOD.LONGER~THAN|32_CHARACTERS!#$%&'*+ /a/ HTTP/1.1", ""},
+      {"GET /a/%C3%A9;p=1?x=%20&y=[]{}|^ HTTP/1.1", ""},
+      {"GET /a/ HTTP/1.1\r\n!#$%&'*+-.^_`|~09aZ:\tx\ty\t", ""},
+      {"GET /a/ HTTP/1.1\r\nempty:", ""},
+      {"POST /a/ HTTP/1.1" + chunked, "2;a=\"b c\";d\r\nok\r\n0\r\n\r\n"},
+      {"POST /a/ HTTP/1.1" + chunked, "2\r\nok\r\n0\r\ntrailer: y\r\n\r\n"},
+      {"POST /a/ HTTP/1.1" + chunked, "000A\r\n0123456789\r\n000\r\n\r\n"},
+      {"GET /a/ HTTP/1.1\r\ncontent-length: 2", "ok"},
+      {"POST /a/ HTTP/1.1\r\ncontent-length: 0", ""}};
+  for (const proper_request& request : requests) {
+    const std::string sent = request.head +
+                             "\r\nhost: H:80\r\nconnection: close\r\n\r\n" +
+                             request.body;
+    EXPECT_EQ(StatusOf(Exchange(sent)), 200) << sent;
+  }
+}
+
+TEST_F(gate_fixture, AbsoluteTargetIsPassedOnAsPathAndHost) {
+  SetView({});
+  EXPECT_EQ(StatusOf(Exchange("GET http://h/a/x?q=http://z HTTP/1.1\r\nhost: "
+                              "other\r\nconnection: close\r\n\r\n")),
+            200);
+  EXPECT_EQ(last_call_.target, "/a/x?q=http://z");
+  EXPECT_EQ(*FindHeader(last_call_.headers, "host"), "h");
+}
+
+// Guards against a 400 where only the configuration may refuse.
+TEST_F(gate_fixture, TargetsWithoutPathAreMatchedAgainstRoutes) {
+  const std::string end = " HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+  for (const std::string target :
+       {"GET http://h", "OPTIONS *", "OPTIONS http://h", "CONNECT h:80"}) {
+    SetView({.age = seconds(2)});
+    EXPECT_EQ(StatusOf(Exchange(target + end)), 503) << target;
+    SetView({});
+    EXPECT_EQ(StatusOf(Exchange(target + end)), 404) << target;
+  }
+}
+
+// Guards against a request that waits in the buffer and is refused for it.
+TEST_F(gate_fixture, PipelinedRequestsBeyondTheBufferAreAllServed) {
+  constexpr int kRequests = 5000;  // 200 KB; the buffer holds 128 KB
+  SetView({});
+  std::string requests;
+  for (int i = 0; i < kRequests; ++i) {
+    requests += "GET /a/ HTTP/1.1\r\nhost: h\r\nx: 01234\r\n\r\n";
+  }
+  asio::io_context context;
+  tcp::socket caller = Connect(context);
+  std::thread writer([&] { WriteText(caller, requests + Get("/a/")); });
+  const std::string responses = ReadUntil(caller, "no such text");
+  writer.join();
+  int served = 0;
+  for (std::size_t at = 0;
+       (at = responses.find("HTTP/1.1 200", at)) != std::string::npos; ++at) {
+    ++served;
+  }
+  EXPECT_EQ(served, kRequests + 1);
+}
+
 // Guards against a confirmation at the start of the host's clock.
 TEST(SharedView, IsOldBeforeTheFirstConfirmation) {
   const shared_view view;
--- a/tests/gate_fixtures.h
+++ b/tests/gate_fixtures.h
@@ -17,8 +17,10 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <optional>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace parsleyyard::testing {
@@ -86,8 +88,8 @@
                   *log_);
     gate_->SetCallbacks(
         [this](std::uint64_t call, const call_plan&, call_request message) {
-          ++calls_;
           EXPECT_NO_THROW(Encode(message));
+          last_call_ = message;
           gate_->OnResult(call, {.outcome = call_outcome::kAnswer,
                                  .status = 200,
                                  .body = std::to_string(message.body.size())});
@@ -187,7 +189,7 @@
   platform::dialect dialect_;
   std::array<int, 2> pipe_ends_{};
   std::string logged_;
-  std::atomic<int> calls_{0};
+  call_request last_call_;
   std::optional<event_log> log_;
   std::optional<caller_gate> gate_;
   std::optional<http_server> server_;
