--- a/tests/gate_fixtures.h
+++ b/tests/gate_fixtures.h
@@ -14,10 +14,13 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <optional>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace parsleyyard::testing {
@@ -85,7 +88,8 @@
                   *log_);
     gate_->SetCallbacks(
         [this](std::uint64_t call, const call_plan&, call_request message) {
-          ++calls_;
+          EXPECT_NO_THROW(Encode(message));
+          last_call_ = message;
           gate_->OnResult(call, {.outcome = call_outcome::kAnswer,
                                  .status = 200,
                                  .body = std::to_string(message.body.size())});
@@ -126,7 +130,8 @@
     const caller_limits configured =
         view->config ? view->config->limits() : caller_limits();
     return {.max_header_bytes = configured.max_header_bytes,
-            .max_body_bytes = configured.max_body_bytes,
+            .max_body_bytes = std::min<std::size_t>(configured.max_body_bytes,
+                                                    settings_.calls.max_body),
             .header_timeout = configured.header_timeout};
   }
 
@@ -184,7 +189,7 @@
   platform::dialect dialect_;
   std::array<int, 2> pipe_ends_{};
   std::string logged_;
-  std::atomic<int> calls_{0};
+  call_request last_call_;
   std::optional<event_log> log_;
   std::optional<caller_gate> gate_;
   std::optional<http_server> server_;
