Wait before the peer port accepts again after an error

A daemon without free file descriptors spent its processor time on accepting peers over and over, which slows the calls that it still serves. Cause: after an error of accept, the loop of peer_mesh tried again at once. Change: it waits 10 ms, as the HTTP server does.

--- a/net/peer_mesh.cc
+++ b/net/peer_mesh.cc
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr auto kNothrowAwaitable = asio::as_tuple(asio::use_awaitable);
+// Delay after an accept that failed.
+constexpr duration kAcceptRetryDelay = std::chrono::milliseconds(10);
 
 bool IsControl(const any_message& message) {
   return std::holds_alternative<view_update>(message);
@@ -64,6 +66,7 @@
   };
 
   asio::awaitable<void> AcceptConnections();
+  asio::awaitable<void> PauseAfterError();
   std::shared_ptr<stream_link> OpenStream(const host_address& peer);
   asio::ip::address_v4 Resolve(const host_address& peer) const;
   void CountSent(const any_message& message, std::size_t bytes);
@@ -110,6 +113,7 @@
     auto [error, socket] = co_await acceptor_.async_accept(
         asio::make_strand(context_), kNothrowAwaitable);
     if (error) {
+      co_await PauseAfterError();
       continue;
     }
     const auto link =
@@ -118,6 +122,13 @@
   }
 }
 
+// When the process has no free file descriptor, each accept fails at once; the
+// pause prevents a busy loop.
+asio::awaitable<void> mesh_internals::PauseAfterError() {
+  asio::steady_timer timer(acceptor_.get_executor(), kAcceptRetryDelay);
+  co_await timer.async_wait(kNothrowAwaitable);
+}
+
 asio::ip::address_v4 mesh_internals::Resolve(const host_address& peer) const {
   boost::system::error_code error;
   const auto address = asio::ip::make_address_v4(
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -5,6 +5,8 @@
 
 #include <boost/leaf/handle_errors.hpp>
 
+#include <unistd.h>
+
 #include <array>
 #include <functional>
 
@@ -44,6 +46,15 @@
       [] { return false; });
 }
 
+// Opens as many file descriptors as the process may have.
+std::vector<int> TakeAllFileDescriptors() {
+  std::vector<int> taken;
+  for (int descriptor = ::dup(0); descriptor >= 0; descriptor = ::dup(0)) {
+    taken.push_back(descriptor);
+  }
+  return taken;
+}
+
 // Polls for up to 10 seconds.
 template <class Condition>
 bool Eventually(const Condition& holds) {
@@ -159,5 +170,36 @@
   mesh.Close();
 }
 
+// Guards against a busy loop in a process without free file descriptors.
+TEST(Mesh, WaitsBeforeItAcceptsAgainWithoutFreeFileDescriptors) {
+  asio::io_context context;
+  counting_listener listener;
+  peer_mesh mesh(context,
+                 {.address = kHost, .port = kMeshPort, .incarnation = 5},
+                 listener);
+  ASSERT_TRUE(ListenOn(mesh));
+  context.poll();
+  tcp::socket peer(context);
+  peer.open(tcp::v4());
+  const std::vector<int> taken = TakeAllFileDescriptors();
+  ASSERT_FALSE(taken.empty());
+  peer.connect({asio::ip::make_address_v4(kHost), kMeshPort});
+  const std::size_t steps = context.run_for(milliseconds(300));
+  for (const int descriptor : taken) {
+    ::close(descriptor);
+  }
+  EXPECT_LT(steps, 200U) << "steps of the io_context in 300 ms";
+  peer.non_blocking(true);
+  std::array<char, 1> hello{};
+  boost::system::error_code error = asio::error::would_block;
+  for (int i = 0; i < 100 && error; ++i) {
+    context.run_for(milliseconds(10));
+    peer.read_some(asio::buffer(hello), error);
+  }
+  EXPECT_FALSE(error) << "accepts once there is a descriptor";
+  mesh.Close();
+  context.run_for(milliseconds(100));
+}
+
 }  // namespace
 }  // namespace parsleyyard
