Keep a peer reachable when its idle stream is closed

A daemon counted each peer with which it had exchanged nothing for 60 s as unreachable, until the stream to it was open again. The relay plan passes over such peers. Cause: the end of a stream counts as a failure of the peer, also if this side closed the stream because it was idle; and the accepting side could close it first, which the other one can't tell from a stop. Change: the side that opened the stream closes it after the idle timeout and notes no failure; the accepting side waits twice as long.

--- a/net/peer_mesh.cc
+++ b/net/peer_mesh.cc
@@ -280,7 +280,9 @@
     }
     waiting.swap(found->second.waiting);
     outgoing_.erase(found);
-    failed_at_[link->peer] = clock_.Now();
+    if (!link->ClosedAsIdle()) {
+      failed_at_[link->peer] = clock_.Now();
+    }
   }
   listener_.OnLinkDown(link->peer);
   for (const auto& [message, urgent] : waiting) {
--- a/net/stream_link.cc
+++ b/net/stream_link.cc
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr auto kNothrowAwaitable = asio::as_tuple(asio::use_awaitable);
+// An accepted stream may be idle for this many times the idle timeout.
+constexpr int kAcceptedIdleFactor = 2;
 // Capacity above which an empty receive buffer is freed.
 constexpr std::size_t kMaxKeptBytes = std::size_t{64} * 1024;
 
@@ -208,6 +210,14 @@
   writing_ = false;
 }
 
+// The side that accepted the stream waits longer, so that the other one closes
+// it: only that side can tell an idle stream from a peer that is gone.
+bool stream_link::IsIdle(std::chrono::steady_clock::time_point now) const {
+  const duration limit = outgoing ? options_.idle_timeout
+                                  : options_.idle_timeout * kAcceptedIdleFactor;
+  return now - std::max(sent_at_, received_at_) >= limit;
+}
+
 // Closes a stream if the peer's hello is late, if the stream is idle, or if the
 // peer does not reply to a probe. A connection can stop carrying data for good
 // without a reset.
@@ -222,11 +232,12 @@
     co_await liveness_timer_.async_wait(kNothrowAwaitable);
     const auto now = std::chrono::steady_clock::now();
     const bool awaits_data = outgoing && sent_at_ > received_at_;
-    const bool idle =
-        now - std::max(sent_at_, received_at_) >= options_.idle_timeout;
     const bool probe_expired =
         awaiting_probe_reply_ && now - probe_sent_at_ >= options_.probe_timeout;
-    if (probe_expired || idle) {
+    if (probe_expired) {
+      Close();
+    } else if (IsIdle(now)) {
+      closed_as_idle_ = true;
       Close();
     } else if (!awaiting_probe_reply_ && awaits_data &&
                now - received_at_ >= options_.probe_delay) {
--- a/net/stream_link.h
+++ b/net/stream_link.h
@@ -50,6 +50,9 @@
   // being written. Closes the stream if its queue is too long. Thread-safe.
   void Send(frame_ptr frame, bool urgent);
   void Close();  // thread-safe
+  // Returns true if this side closed the stream because it was idle. Valid in
+  // OnClosed().
+  bool ClosedAsIdle() const { return closed_as_idle_; }
 
   bool outgoing = false;  // opened by this daemon
   host_address peer;      // the address connected to, or the one in the hello
@@ -62,6 +65,7 @@
   void SendMessage(const any_message& message);
   asio::awaitable<void> WriteQueue();
   asio::awaitable<void> WatchLiveness();
+  bool IsIdle(std::chrono::steady_clock::time_point now) const;
 
   tcp::socket socket_;
   const mesh_options& options_;
@@ -72,6 +76,7 @@
   bool writing_ = false;    // WriteQueue() runs
   bool connected_ = false;  // frames may be written
   bool closed_ = false;
+  bool closed_as_idle_ = false;
   bool hello_received_ = false;
   bool awaiting_probe_reply_ = false;
   // Number of frames at the front of queue_ that are being written.
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -170,6 +170,34 @@
   mesh.Close();
 }
 
+// Guards against a peer that counts as unreachable because nothing was said to
+// it for a while.
+TEST(Mesh, PeerStaysReachableAfterItsIdleStreamWasClosed) {
+  worker_threads pool;
+  counting_listener first;
+  counting_listener second;
+  mesh_options options{.address = "127.9.0.2",
+                       .port = kMeshPort,
+                       .incarnation = 2,
+                       .idle_timeout = milliseconds(600),
+                       .connect_timeout = milliseconds(300),
+                       .probe_delay = milliseconds(50)};
+  peer_mesh a(pool.context, options, first);
+  options.address = "127.9.0.3";
+  peer_mesh b(pool.context, options, second);
+  ASSERT_TRUE(ListenOn(a) && ListenOn(b));
+  for (int closed = 1; closed <= 2; ++closed) {
+    a.Open("127.9.0.3");
+    EXPECT_TRUE(Eventually([&] { return first.link_downs == closed; }));
+    EXPECT_TRUE(a.IsReachable("127.9.0.3"));
+  }
+  a.Open("127.9.0.9");
+  EXPECT_TRUE(Eventually([&] { return first.link_downs == 3; }));
+  EXPECT_FALSE(a.IsReachable("127.9.0.9")) << "nothing listens there";
+  a.Close();
+  b.Close();
+}
+
 // Guards against a busy loop in a process without free file descriptors.
 TEST(Mesh, WaitsBeforeItAcceptsAgainWithoutFreeFileDescriptors) {
   asio::io_context context;
