Withhold a request if the process was stopped during the check before its write

A call could begin in a failure domain that had been out for seconds: the target checks the view just before it writes a request to the instance, but a process that was stopped after it had read the clock for that check wrote the request when it resumed, by the view from before the stop. Change: after the check, the target looks once more whether it was paused, and repeats the check if so. A stop between that and the system call of the write is still not seen. Evidence: stopped_check_fixture.WithholdsRequestAfterPauseDuringTheCheck failed before.

--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -69,6 +69,7 @@
  private:
   refusal_reason FindRefusal(const call_request& message, instant now) const;
   refusal_reason FindStartRefusal(const table_entry& call, instant now) const;
+  refusal_reason RepeatStartCheck(const table_entry& call, instant now);
   void UpdateFromView(instant now);
   void ReportColdLimit(instant now);
   instance_capacity Capacity(instant now) const;
@@ -343,8 +344,16 @@
   link_.SendAnswer(from, shared_answer);
 }
 
+refusal_reason target_internals::RepeatStartCheck(const table_entry& call,
+                                                  instant now) {
+  pause_guard_.Observe(now);
+  UpdateFromView(now);
+  return FindStartRefusal(call, now);
+}
+
 // Repeats the checks of the start: since then the process may have been paused,
-// or may have waited for a connection or for its share of the processor.
+// or may have waited for a connection or for its share of the processor. They
+// are repeated once more if the process was paused during them.
 bool target_internals::OnUpstreamWrite(const call_id& id) {
   const instant now = clock_.Now();
   table_entry* call = table_.Find(id);
@@ -352,9 +361,13 @@
       call->written || call->withheld_for != refusal_reason::kNone) {
     return false;
   }
-  pause_guard_.Observe(now);
-  UpdateFromView(now);
-  call->withheld_for = FindStartRefusal(*call, now);
+  call->withheld_for = RepeatStartCheck(*call, now);
+  if (call->withheld_for == refusal_reason::kNone) {
+    const instant checked_at = clock_.Now();
+    if (pause_guard_.Observe(checked_at)) {
+      call->withheld_for = RepeatStartCheck(*call, checked_at);
+    }
+  }
   if (call->withheld_for != refusal_reason::kNone) {
     return false;
   }
--- a/tests/calls_test.cc
+++ b/tests/calls_test.cc
@@ -236,6 +236,34 @@
   EXPECT_TRUE(written_.empty());
 }
 
+// Stops the process for 5 s when the target reads the view.
+class stopped_check_fixture : public target_fixture {
+ protected:
+  std::shared_ptr<const snapshot> Current() const override {
+    if (stop_next_check_) {
+      *stop_next_check_ += seconds(5);
+      stop_next_check_ = nullptr;
+    }
+    return target_fixture::Current();
+  }
+  mutable instant* stop_next_check_ = nullptr;
+};
+
+// Guards against requests that are written after a pause during their check.
+TEST_F(stopped_check_fixture, WithholdsRequestAfterPauseDuringTheCheck) {
+  confirmed_at_ = clock_.now;
+  target_->Tick();
+  hold_writes_ = true;
+  call_request patient = Message(1);
+  patient.deadline_ms = 10000;
+  Send(patient);
+  stop_next_check_ = &clock_.now;
+  WriteHeldRequests();
+  EXPECT_EQ(answers_[1].reason, refusal_reason::kPaused);
+  EXPECT_EQ(answers_[1].outcome, call_outcome::kNotRun);
+  EXPECT_TRUE(written_.empty());
+}
+
 // Guards against an instance that counts as down since a request was withheld.
 TEST_F(target_fixture, WithheldRequestDoesNotMakeInstanceDown) {
   hold_writes_ = true;
