The stand-in store can be restored from an older copy

The platform's store may come back from a copy: what was written since is gone, what was removed since is there again, revisions are given out again, and every answer states the era of the history. The stand-in could not do so, so no test with processes met it.

/admin/copy takes a copy, /admin/restore returns to it: items, revision, history and the revision up to which the history was dropped. Leases begin anew, watches that wait are cut, and a watch from a revision that the store does not have gets 410. Store-Era is in all answers.

--- a/standins/platform.cc
+++ b/standins/platform.cc
@@ -1,16 +1,16 @@
 // Stand-in for the platform's store: keys, paged range reads and watches, as
 // docs/PLATFORM.md describes them. Requests to /admin/ write keys as the
-// operator does, register and remove instances, and inject faults.
+// operator does, register and remove instances, copy and restore the store, and
+// inject faults.
 
 #include "standins/standin_options.h"
+#include "standins/store_data.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/json.hpp>
 
-#include <deque>
 #include <list>
-#include <map>
 #include <mutex>
 
 namespace parsleyyard::standins {
@@ -22,27 +22,12 @@
 constexpr int kMaxReadsPerSecond = 2000;  // requests beyond it get status 429
 constexpr std::size_t kMaxAdminBody = 64u << 20;
 constexpr std::size_t kItemsPerPage = 50;
-// Changes kept for watches; a watch from an older revision gets status 410.
-constexpr std::size_t kMaxHistory = 2000;
+// Every response states the era of the store's history.
+constexpr const char* kEraHeader = "Store-Era";
 // Response delay of fault mode slow.
 constexpr auto kSlowDelay = std::chrono::milliseconds(300);
-constexpr std::int64_t kLeaseDurationMs = 4500;  // three heartbeats of 1.5 s
 constexpr auto kLeaseCheckInterval = std::chrono::milliseconds(200);
 
-struct stored_item {
-  std::string value;
-  std::uint64_t revision = 0;
-  std::uint64_t created = 0;
-  // Unix time of the end of the lease; 0: no lease.
-  std::int64_t expires_ms = 0;
-};
-
-struct change {
-  std::string key;
-  std::uint64_t revision = 0;
-  bool removed = false;
-};
-
 // A watch whose response is still pending.
 struct pending_watch {
   std::uint64_t after = 0;
@@ -70,8 +55,13 @@
   }
 
   std::function<void()> OnRequest(http_request request,
-                                  response_callback reply) override {
+                                  response_callback send) override {
     const std::lock_guard lock(mutex_);
+    response_callback reply = [this, send](http_response response) {
+      response.headers.push_back(
+          {.name = kEraHeader, .value = std::to_string(data_.Era())});
+      send(std::move(response));
+    };
     const std::string path = request.target.substr(0, request.target.find('?'));
     if (path.starts_with("/admin/")) {
       reply(HandleAdmin(path, request));
@@ -126,10 +116,10 @@
       reply(JsonResponse(ReadPage(QueryValue(request.target, "prefix"),
                                   QueryValue(request.target, "after"))));
     } else if (path == "/api/kv-key") {
-      const auto found = items_.find(QueryValue(request.target, "key"));
-      reply(found == items_.end()
-                ? TextResponse(404, "no such key\n")
-                : JsonResponse(ItemJson(found->first, found->second)));
+      const std::string key = QueryValue(request.target, "key");
+      const stored_item* item = data_.Find(key);
+      reply(item == nullptr ? TextResponse(404, "no such key\n")
+                            : JsonResponse(ItemJson(key, *item)));
     } else {
       reply(TextResponse(404, "unknown path\n"));
     }
@@ -147,46 +137,32 @@
             {"value", Base64(item.value)},
             {"rev", item.revision},
             {"created", item.created},
-            {"lease", item.expires_ms == 0 ? 0 : 1}};
+            {"lease", item.lease_ends_ms == 0 ? 0 : 1}};
   }
 
   json::object ReadPage(const std::string& prefix,
                         const std::string& after) const {
-    json::array items;
-    bool has_more = false;
-    for (const auto& [key, item] : items_) {
-      if (!key.starts_with(prefix) || key <= after) {
-        continue;
-      }
-      if (items.size() == kItemsPerPage) {
-        has_more = true;
-        break;
-      }
-      items.push_back(ItemJson(key, item));
-    }
-    return {{"items", items}, {"has-more", has_more}, {"as-of", revision_}};
+    const range_page page = data_.Range(prefix, after, kItemsPerPage);
+    return {{"items", EventsJson(page.items)},
+            {"has-more", page.has_more},
+            {"as-of", data_.Revision()}};
   }
 
-  // Changes of keys with that prefix after revision `after`. Empty if there are
-  // none.
-  json::array ChangesAfter(std::uint64_t after,
-                           const std::string& prefix) const {
-    json::array changes;
-    for (const change& changed : history_) {
-      if (changed.revision <= after || !changed.key.starts_with(prefix)) {
-        continue;
-      }
-      const auto found = items_.find(changed.key);
-      if (changed.removed) {
-        changes.push_back({{"key", changed.key},
-                           {"rev", changed.revision},
-                           {"removed", true}});
-      } else if (found != items_.end() &&
-                 found->second.revision == changed.revision) {
-        changes.push_back(ItemJson(changed.key, found->second));
+  static json::array EventsJson(const std::vector<store_event>& events) {
+    json::array array;
+    for (const store_event& event : events) {
+      if (event.item == nullptr) {
+        array.push_back(
+            {{"key", event.key}, {"rev", event.revision}, {"removed", true}});
+      } else {
+        array.push_back(ItemJson(event.key, *event.item));
       }
     }
-    return changes;
+    return array;
+  }
+
+  json::object ChangesJson(const std::vector<store_event>& changes) const {
+    return {{"events", EventsJson(changes)}, {"as-of", data_.Revision()}};
   }
 
   void HandleWatch(const http_request& request,
@@ -196,13 +172,13 @@
     const auto wait =
         std::strtol(QueryValue(request.target, "wait-ms").c_str(), nullptr, 10);
     const std::string prefix = QueryValue(request.target, "prefix");
-    if (after < compacted_revision_) {
-      reply(TextResponse(410, "history before this revision was compacted\n"));
+    if (!data_.HasHistorySince(after)) {
+      reply(TextResponse(410, "no history from this revision on\n"));
       return;
     }
-    json::array changes = ChangesAfter(after, prefix);
+    const std::vector<store_event> changes = data_.ChangesAfter(after, prefix);
     if (!changes.empty() || wait <= 1) {
-      reply(JsonResponse({{"events", changes}, {"as-of", revision_}}));
+      reply(JsonResponse(ChangesJson(changes)));
       return;
     }
     auto timer = std::make_shared<asio::steady_timer>(
@@ -221,21 +197,35 @@
 
   void FinishWatch(pending_watch& watch) {
     if (watch.reply) {
-      watch.reply(
-          JsonResponse({{"events", ChangesAfter(watch.after, watch.prefix)},
-                        {"as-of", revision_}}));
+      watch.reply(JsonResponse(
+          ChangesJson(data_.ChangesAfter(watch.after, watch.prefix))));
       watch.reply = nullptr;
     }
   }
 
-  void RecordChange(const std::string& key, bool removed) {
-    history_.push_back({.key = key, .revision = revision_, .removed = removed});
-    if (history_.size() > kMaxHistory) {
-      compacted_revision_ = history_.front().revision;
-      history_.pop_front();
-    }
-    // While the store is unreachable, a change finishes no pending watch.
-    if (fault_ == "down" || fault_ == "silent") {
+  std::uint64_t Put(const std::string& key, const std::string& value) {
+    const std::uint64_t before = data_.Revision();
+    const std::uint64_t revision = data_.Put(key, value);
+    FinishWatches(key, before);
+    return revision;
+  }
+
+  void Register(const std::string& key, const std::string& value) {
+    const std::uint64_t before = data_.Revision();
+    data_.PutLeased(key, value, EpochMs());
+    FinishWatches(key, before);
+  }
+
+  void Remove(const std::string& key) {
+    const std::uint64_t before = data_.Revision();
+    data_.Remove(key);
+    FinishWatches(key, before);
+  }
+
+  // Finishes the watches of that key if it changed the store, which was at
+  // revision `before`. While the store is unreachable, a change finishes none.
+  void FinishWatches(const std::string& key, std::uint64_t before) {
+    if (data_.Revision() == before || IsUnreachable()) {
       return;
     }
     for (pending_watch& watch : watches_) {
@@ -245,38 +235,26 @@
     }
   }
 
-  std::uint64_t Put(const std::string& key,
-                    const std::string& value,
-                    std::int64_t expires_ms) {
-    stored_item& item = items_[key];
-    item.expires_ms = expires_ms;
-    if (item.value != value) {
-      item.value = value;
-      item.revision = ++revision_;
-      item.created = item.created == 0 ? revision_ : item.created;
-      RecordChange(key, false);
+  // A restore ends the watches that wait; they may be from a revision that the
+  // store no longer has.
+  void CutWatches() {
+    for (pending_watch& watch : watches_) {
+      if (watch.reply) {
+        http_response response = TextResponse(503, "the watch was cut\n");
+        response.close = true;
+        watch.reply(std::move(response));
+        watch.reply = nullptr;
+      }
     }
-    return item.revision;
   }
 
-  void Remove(const std::string& key) {
-    if (items_.erase(key) > 0) {
-      ++revision_;
-      RecordChange(key, true);
-    }
-  }
+  bool IsUnreachable() const { return fault_ == "down" || fault_ == "silent"; }
 
   void ScheduleLeaseCheck() {
     lease_timer_.expires_after(kLeaseCheckInterval);
     lease_timer_.async_wait([this](const boost::system::error_code&) {
       const std::lock_guard lock(mutex_);
-      std::vector<std::string> expired;
-      for (const auto& [key, item] : items_) {
-        if (item.expires_ms != 0 && item.expires_ms < EpochMs()) {
-          expired.push_back(key);
-        }
-      }
-      for (const std::string& key : expired) {
+      for (const std::string& key : data_.ExpiredKeys(EpochMs())) {
         Remove(key);
       }
       ScheduleLeaseCheck();
@@ -287,25 +265,30 @@
                             const http_request& request) {
     const std::string key = QueryValue(request.target, "key");
     if (path == "/admin/put") {
-      return TextResponse(200,
-                          std::to_string(Put(key, request.body, 0)) + "\n");
+      return TextResponse(200, std::to_string(Put(key, request.body)) + "\n");
     }
     if (path == "/admin/register") {
-      if (fault_ == "down" || fault_ == "silent") {
+      if (IsUnreachable()) {
         return TextResponse(503, "store is down\n");
       }
-      Put(key, request.body, EpochMs() + kLeaseDurationMs);
+      Register(key, request.body);
       return TextResponse(200, "registered\n");
     }
     if (path == "/admin/remove") {
       Remove(key);
       return TextResponse(200, "removed\n");
     }
+    if (path == "/admin/copy") {
+      data_.Copy();
+      return TextResponse(200, std::to_string(data_.Revision()) + "\n");
+    }
+    if (path == "/admin/restore") {
+      return RestoreCopy();
+    }
     if (path == "/admin/fault") {
       fault_ = QueryValue(request.target, "mode");
       if (fault_ == "compact") {
-        compacted_revision_ = revision_;
-        history_.clear();
+        data_.DropHistory();
       }
       unanswered_.clear();
       return TextResponse(200, "fault " + fault_ + "\n");
@@ -316,13 +299,18 @@
     return TextResponse(200, json::serialize(stats) + "\n");
   }
 
+  http_response RestoreCopy() {
+    if (!data_.Restore(EpochMs())) {
+      return TextResponse(409, "there is no copy\n");
+    }
+    CutWatches();
+    return TextResponse(200, std::to_string(data_.Revision()) + "\n");
+  }
+
   asio::io_context& context_;
   asio::steady_timer lease_timer_;
   std::mutex mutex_;
-  std::uint64_t revision_ = 1;
-  std::map<std::string, stored_item> items_;
-  std::deque<change> history_;
-  std::uint64_t compacted_revision_ = 0;  // changes up to it are no longer kept
+  store_data data_;
   std::list<pending_watch> watches_;
   std::vector<response_callback> unanswered_;  // requests of fault mode silent
   std::string fault_ = "none";  // none, down, silent, slow or compact
