Stand-ins: match query parameters by their whole name and decode them

QueryValue() found a parameter also within the name or the value of another, and left %2F as it was. The daemons encode the prefix of a read: the stand-in store answered each read of the registrations and evacuations with no item, and the second page of a read of over 50 items with the first.

--- a/standins/standin_options.h
+++ b/standins/standin_options.h
@@ -9,11 +9,13 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/program_options.hpp>
 
+#include <charconv>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <string>
+#include <string_view>
 
 namespace parsleyyard::standins {
 
@@ -50,20 +52,39 @@
                        [] { std::exit(3); });
 }
 
-// The value of the query parameter `name` in a request target; "" if absent.
-// Values are not percent-decoded.
-inline std::string QueryValue(const std::string& target,
-                              const std::string& name) {
-  const std::size_t query_begin = target.find('?');
-  std::size_t value_begin = query_begin == std::string::npos
-                                ? std::string::npos
-                                : target.find(name + "=", query_begin);
-  if (value_begin == std::string::npos) {
-    return "";
+// Decodes %XX. Other characters stay as they are.
+inline std::string PercentDecode(std::string_view text) {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    unsigned char byte = 0;
+    const char* const digits = text.data() + i + 1;
+    if (text[i] == '%' && i + 2 < text.size() &&
+        std::from_chars(digits, digits + 2, byte, 16).ptr == digits + 2) {
+      decoded += static_cast<char>(byte);
+      i += 2;
+    } else {
+      decoded += text[i];
+    }
   }
-  value_begin += name.size() + 1;
-  return target.substr(value_begin,
-                       target.find('&', value_begin) - value_begin);
+  return decoded;
+}
+
+// The decoded value of the query parameter `name` in a request target; "" if
+// absent.
+inline std::string QueryValue(std::string_view target, std::string_view name) {
+  std::size_t begin = target.find('?');
+  while (begin != std::string_view::npos) {
+    const std::size_t end = target.find('&', begin + 1);
+    const std::string_view parameter =
+        target.substr(begin + 1, end - begin - 1);
+    const std::size_t equals = parameter.find('=');
+    if (equals != std::string_view::npos &&
+        parameter.substr(0, equals) == name) {
+      return PercentDecode(parameter.substr(equals + 1));
+    }
+    begin = end;
+  }
+  return "";
 }
 
 // Unix time in milliseconds, so that log lines of several processes can be
