Stand-in instances: a heartbeat that says nothing new leaves the entry as it is

The platform changes an entry only when more than its number changes. A test of a restored store needs this, since revisions that are lost would else be given out again by heartbeats alone within the age of the copy.

--- a/standins/upstream.cc
+++ b/standins/upstream.cc
@@ -137,6 +137,7 @@
     RemoveRegistration();
     instance_id_ = options_.instance + "-" + std::to_string(device());
     sequence_ = 0;
+    last_state_.clear();
     RegisterInstance();
   }
 
@@ -154,8 +155,10 @@
                    {.timeout = kRegisterTimeout}, [](const http_exchange&) {});
   }
 
+  // A registration that says nothing new renews the lease; the entry in the
+  // store stays as it is.
   void RegisterInstance() {
-    const boost::json::object registration = {
+    boost::json::object registration = {
         {"service", options_.service},
         {"address", options_.address + ":" + std::to_string(options_.port)},
         {"zone", options_.failure_domain},
@@ -163,8 +166,13 @@
         {"slots", options_.slots},
         {"state", draining_ ? "draining" : "ready"},
         {"warmup-left-ms", ColdMsLeft()},
-        {"seq-no", ++sequence_},
         {"born", started_ms_}};
+    std::string state = boost::json::serialize(registration);
+    if (state != last_state_) {
+      ++sequence_;
+      last_state_ = std::move(state);
+    }
+    registration["seq-no"] = sequence_;
     PostToStore("register", boost::json::serialize(registration));
   }
 
@@ -280,9 +288,10 @@
   std::string instance_id_;
   std::int64_t started_ms_ = 0;
   std::int64_t collapsed_until_ms_ = 0;
-  bool draining_ = false;      // registered as draining
-  bool rejects_work_ = false;  // new requests are rejected
-  std::uint64_t sequence_ = 0;
+  bool draining_ = false;       // registered as draining
+  bool rejects_work_ = false;   // new requests are rejected
+  std::uint64_t sequence_ = 0;  // counts the changes of the registration
+  std::string last_state_;      // the last registration without its number
   int running_ = 0;
   int max_running_ = 0;
   std::uint64_t shed_ = 0;
