Fleet: copy and restore the stand-in store, and write again as the operator

The fleet keeps what the operator has written and removed, in the order of the last change of each key, so that it can be written again after a restore. wait_ready() names the configuration versions of the daemons that it waits for in vain.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -109,6 +109,7 @@
         self.settings = settings or {}
         self.hosts = hosts or place_hosts(profile)
         self.processes, self.evacuation_changes, self.version = {}, [], 0
+        self.operator_writes = {}  # by key, in the order of their last change: the value; None if removed
         self.out_dir.mkdir(parents=True, exist_ok=True)
         for old_file in self.out_dir.glob("*"):
             if old_file.is_file():
@@ -159,16 +160,39 @@
 
     def publish_configuration(self, note=""):
         self.version += 1
-        fetch(STORE_ADDRESS + "/admin/put?key=op/config",
-              make_configuration(self.profile, self.version, self.cold_ms, note))
+        self.write_as_operator("op/config", make_configuration(self.profile, self.version, self.cold_ms, note))
         return self.version
 
+    def write_as_operator(self, key, value):
+        """Writes a key of the store, or removes it if `value` is None."""
+        self.operator_writes.pop(key, None)
+        self.operator_writes[key] = value
+        self.send_write(key, value)
+
+    def send_write(self, key, value):
+        if value is None:
+            fetch(f"{STORE_ADDRESS}/admin/remove?key={key}", {})
+        else:
+            fetch(f"{STORE_ADDRESS}/admin/put?key={key}", value)
+
+    def copy_store(self):
+        fetch(STORE_ADDRESS + "/admin/copy")
+
+    def restore_store(self):
+        """Takes the store back to its last copy. Instances register again by themselves."""
+        fetch(STORE_ADDRESS + "/admin/restore")
+
+    def write_again(self, delay_s=0):
+        """Writes again, after a delay, all that the operator has written and removed, in that order."""
+        time.sleep(delay_s)
+        for key, value in self.operator_writes.items():
+            self.send_write(key, value)
+
     def change_evacuation(self, **change):
         """Evacuates a failure domain (out=NAME) or ends its evacuation (in_=NAME)."""
         (direction, domain), = change.items()
         direction = direction.rstrip("_")
-        command = "put" if direction == "out" else "remove"
-        fetch(f"{STORE_ADDRESS}/admin/{command}?key=op/evacuate/{domain}", {})
+        self.write_as_operator("op/evacuate/" + domain, {} if direction == "out" else None)
         self.evacuation_changes.append((int(time.time() * 1000), direction, domain))
 
     def set_store_fault(self, mode):
@@ -206,7 +230,8 @@
             missing = [h for h in missing if not self.is_ready(h, version)]
             time.sleep(0.02 if missing else 0)
         if missing:
-            raise RuntimeError(f"daemons not ready in time: {[h.address for h in missing]}")
+            versions = {h.address: (self.status(h) or {}).get("version") for h in missing}
+            raise RuntimeError(f"daemons not ready in time, with their versions: {versions}")
         return time.time() - start
 
     def is_ready(self, host, version):
