--- a/tests/processes_test.py
+++ b/tests/processes_test.py
@@ -1,12 +1,16 @@
 #!/usr/bin/env python3
 """Tests with real processes and signals. They check the call and execution logs and measure no times."""
 
+import json
 import pathlib
 import signal
 import subprocess
 import sys
+import threading
 import time
 import unittest
+import urllib.error
+import urllib.request
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "scripts"))
@@ -138,5 +142,139 @@
             self.assertIn("service none is not configured", checked.stderr)
 
 
+class StoreTest(ProcessesCase):
+    """The stand-in store alone."""
+
+    def setUp(self):
+        self.store = self.fleet()
+        self.store.spawn("platform", BUILD / "standin_platform")
+        self.addCleanup(self.store.stop_all)
+        self.store.wait_for_url(fleet.STORE_ADDRESS + "/admin/stats")
+
+    # Returns the status and the era that the response states.
+    def ask(self, target, seconds=30):
+        try:
+            response = urllib.request.urlopen(f"http://{fleet.STORE_ADDRESS}{target}", timeout=seconds)
+        except urllib.error.HTTPError as error:
+            response = error
+        with response:
+            return response.status, response.headers["Store-Era"]
+
+    def test_every_answer_states_the_era(self):
+        for era in ("1", "2", "3"):
+            self.assertEqual(self.ask("/api/kv-range?prefix="), (200, era))
+            self.assertEqual(self.ask("/api/kv-watch?prefix=&after=1&wait-ms=1"), (200, era))
+            self.assertEqual(self.ask("/api/kv-watch?prefix=&after=99&wait-ms=1000"), (410, era))
+            self.assertEqual(self.ask("/api/kv-key?key=unknown"), (404, era))
+            self.assertEqual(self.ask("/api/unknown"), (404, era))
+            self.store.set_store_fault("down")
+            self.assertEqual(self.ask("/api/kv-range?prefix="), (503, era))
+            self.store.set_store_fault("none")
+            self.store.copy_store()
+            self.store.restore_store()
+
+    def test_restore_without_a_copy_changes_nothing(self):
+        self.assertEqual(self.ask("/admin/restore"), (409, "1"))
+
+    def test_restore_cuts_a_waiting_watch(self):
+        self.store.copy_store()
+        answers = []
+        watch = threading.Thread(target=lambda: answers.append(
+            self.ask("/api/kv-watch?prefix=&after=1&wait-ms=30000", seconds=60)))
+        watch.start()
+        while json.loads(fleet.fetch(fleet.STORE_ADDRESS + "/admin/stats"))["calls"] == 0:
+            time.sleep(0.01)
+        self.store.restore_store()
+        watch.join()
+        self.assertEqual(answers, [(503, "2")])
+
+
+class VersionWatch:
+    """Asks the daemons for their configuration versions, over and over. As a context manager it starts and stops."""
+
+    def __init__(self, f):
+        self.fleet = f
+        self.highest = {}  # by address
+        self.regressions = []  # address, version before, version after
+        self.stopped = threading.Event()
+        self.thread = threading.Thread(target=self.run)
+
+    def run(self):
+        while not self.stopped.wait(0.05):
+            for host in self.fleet.hosts:
+                self.note(host.address, self.fleet.status(host))
+
+    def note(self, address, status):
+        if status is None:
+            return
+        before, after = self.highest.get(address, 0), status["version"]
+        if after < before:
+            self.regressions.append((address, before, after))
+        self.highest[address] = max(before, after)
+
+    def __enter__(self):
+        self.thread.start()
+        return self
+
+    def __exit__(self, *unused):
+        self.stopped.set()
+        self.thread.join()
+
+
+class RestoreTest(ProcessesCase):
+    """The store comes back from an older copy."""
+
+    def publish_with_route(self, f, name):
+        route = {"name": name, "spec": {"prefix": f"/{name}/", "service": "vitrina", "kind": "idempotent"}}
+        f.profile = {**f.profile, "routes": f.profile["routes"] + [route]}
+        return f.publish_configuration()
+
+    def call_route(self, f, name, seconds, seed):
+        f.start_callers(name, 50, seconds, seed, mix=[f"1:{name}:0:-:GET:/{name}/"])
+
+    def replace_upstream(self, f, host):
+        self.assertEqual(f.terminate("upstream-" + host.address), 0)
+        f.start_upstream(host)
+
+    def evacuate_for_a_moment(self, f, domain):
+        f.change_evacuation(out=domain)
+        f.change_evacuation(in_=domain)
+
+    def assert_served_or_refused(self, f, name):
+        calls = check.read_calls([f.out_dir / f"{name}.calls"])
+        statuses = {call.status for call in calls}
+        self.assertIn(200, statuses)
+        self.assertLessEqual(statuses, {200, 503}, name)
+
+    def test_acknowledged_changes_stay_in_force_and_later_ones_arrive(self):
+        with self.fleet() as f:
+            f.wait_ready()
+            f.start_callers("load", 200, 25, 6)
+            f.copy_store()
+            self.replace_upstream(f, f.hosts[0])
+            f.publish_configuration(note="lost")
+            self.evacuate_for_a_moment(f, f.hosts[2].domain)
+            added = self.publish_with_route(f, "added")
+            f.change_evacuation(out=f.hosts[1].domain)
+            f.wait_ready(version=added)
+            with VersionWatch(f) as versions:
+                self.call_route(f, "added", 20, 7)
+                f.set_store_fault("down")
+                time.sleep(1)
+                f.restore_store()
+                f.set_store_fault("none")
+                f.write_again(delay_s=2.5)
+                later = self.publish_with_route(f, "later")
+                f.wait_ready(version=later)
+                self.call_route(f, "later", 3, 8)
+                for name in ("later", "added", "load"):
+                    f.join_callers(name)
+            self.assertEqual(versions.regressions, [])
+            self.assertEqual(set(versions.highest.values()), {later})
+            self.assert_served_or_refused(f, "added")
+            self.assert_served_or_refused(f, "later")
+            self.assert_valid_history(f)
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
