Soak: restores of the store from an older copy

A new kind of fault: the store is copied, gets one more configuration at least, goes away and comes back from the copy; the operator writes again 0.5 to 2 s later. No restore begins while the store is cut off or another one runs, and no evacuation changes between a copy and the writing again, so that a daemon that starts then can know all that it must follow.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -28,6 +28,8 @@
 EVACUATION_READ_LIMIT_S = 4.0  # within it, every daemon must have read an evacuation or its end
 MIN_GAP_S, MAX_GAP_S = 0.2, 1.2  # between the starts of two faults
 MIN_FAULT_S, MAX_FAULT_S = 0.5, 4.0
+MIN_COPY_AGE_S, MAX_COPY_AGE_S = 1.0, 6.0  # of the copy from which the store is restored
+MIN_WRITE_AGAIN_S, MAX_WRITE_AGAIN_S = 0.5, 2.0  # from a restore until the operator writes again
 MAX_FAULTY_HOST_SHARE = 0.3  # of all hosts, at the same time
 
 Step = collections.namedtuple("Step", "at action args")
@@ -38,7 +40,7 @@
 
     A daemon can follow an evacuation only after it has read it. So the store stays reachable until
     EVACUATION_READ_LIMIT_S after each evacuation and each end of one, and no evacuation starts while the store is
-    unreachable.
+    unreachable, or while a restore can still take it back.
     """
 
     def __init__(self, seed, host_count, domains, regions, seconds):
@@ -60,10 +62,13 @@
     def draw_fault(self, at):
         fault_s = self.random.uniform(MIN_FAULT_S, MAX_FAULT_S)
         fault_kinds = ["kill", "freeze", "stop", "hangup", "restart_cold", "reorder", "commit"]
-        if at > self.store_unreachable_until:
+        is_store_reachable = at > self.store_unreachable_until
+        if is_store_reachable:
             fault_kinds.append("declare")
         if at - self.last_evacuation_change_at > EVACUATION_READ_LIMIT_S:
             fault_kinds += ["cut", "store"]
+            if is_store_reachable:
+                fault_kinds.append("restore")
         getattr(self, "draw_" + self.random.choice(fault_kinds))(at, fault_s)
 
     def pick_host(self, at, fault_s):
@@ -126,6 +131,19 @@
         self.add(at, "store", self.random.choice(["down", "silent", "slow"]))
         self.add(at + fault_s, "store", "none")
 
+    def draw_restore(self, at, fault_s):
+        """The store loses a configuration with a restore from an older copy; the operator writes it again."""
+        away_at = at + self.random.uniform(MIN_COPY_AGE_S, MAX_COPY_AGE_S)
+        restored_at = away_at + fault_s
+        written_at = restored_at + self.random.uniform(MIN_WRITE_AGAIN_S, MAX_WRITE_AGAIN_S)
+        self.mark_store_unreachable(at, written_at - at)
+        self.add(at, "copy")
+        self.add(self.random.uniform(at, away_at), "commit", f"soak-{at:.1f}-lost")
+        self.add(away_at, "store", "down")
+        self.add(restored_at, "restore")
+        self.add(restored_at, "store", "none")
+        self.add(written_at, "write_again")
+
 
 class Runner:
     """Executes the steps of a plan on a fleet. The methods are named after the actions."""
@@ -190,6 +208,15 @@
     def store(self, mode):
         self.fleet.set_store_fault(mode)
 
+    def copy(self):
+        self.fleet.copy_store()
+
+    def restore(self):
+        self.fleet.restore_store()
+
+    def write_again(self):
+        self.fleet.write_again()
+
 
 def explain(f, problems):
     """Prints the output of `parsleyyard explain` for the call that the first problem names."""
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -41,10 +41,34 @@
             if step.action == "declare_out":
                 self.assertEqual(sum(unreachable.values()), 0, step)
 
+    def test_every_restore_follows_a_copy_and_a_change_and_is_written_again(self):
+        for seed in range(20):
+            copies = changes = restores = 0
+            for step in steps(seed):
+                if step.action == "copy":
+                    copies, changes = copies + 1, 0
+                changes += step.action == "commit"
+                if step.action == "restore":
+                    restores += 1
+                    self.assertGreaterEqual(copies, restores)
+                    self.assertGreater(changes, 0, step)
+                restores -= step.action == "write_again"
+                copies -= step.action == "write_again"
+            self.assertEqual((copies, restores), (0, 0), seed)
+
+    def test_no_evacuation_changes_between_a_copy_and_writing_again(self):
+        open_copies = collections.Counter()
+        for seed in range(20):
+            for step in steps(seed):
+                if step.action in ("copy", "write_again"):
+                    open_copies[seed] += 1 if step.action == "copy" else -1
+                if step.action in ("declare_out", "declare_in"):
+                    self.assertEqual(open_copies[seed], 0, step)
+
     def test_plan_has_all_kinds_of_faults(self):
         drawn = {step.action for step in steps(1)}
         self.assertLessEqual({"kill", "freeze", "stop", "hangup", "restart_cold", "reorder", "commit", "declare_out",
-                              "cut", "store"}, drawn)
+                              "cut", "store", "copy", "restore", "write_again"}, drawn)
 
 
 if __name__ == "__main__":
