--- a/daemon/caller_gate.cc
+++ b/daemon/caller_gate.cc
@@ -165,9 +165,10 @@
                                 const observed_view& observed) {
   const snapshot& view = *observed.view;
   fields["version"] = view.config ? view.config->version() : 0;
-  fields["revision"] = view.revision;
+  fields["era"] = view.position.era;
+  fields["revision"] = view.position.revision;
   fields["age_ms"] = nullptr;
-  if (view.revision != 0) {
+  if (view.position.revision != 0) {
     fields["age_ms"] = observed.age.count() / 1000;
   }
 }
--- a/tests/gate_fixtures.h
+++ b/tests/gate_fixtures.h
@@ -109,7 +109,7 @@
 
   void SetView(const gate_view& set) {
     snapshot view;
-    view.revision = set.revision;
+    view.position.revision = set.revision;
     view.config = configuration::Create(
                       {.version = set.version,
                        .routes = {{.name = "a",
