Give 404 only for a refusal by this daemon's own view

A caller would have got a final 404 for any call that ended with the reason `no_route`, also if another daemon gave that reason and even if the call may have run. Cause: StatusFor() looked at the reason alone, for refusals at the head and for results of calls alike. Change: only a refusal by the gate itself can be 404. A result of a call is 503 if it has not run, and 502 or 504 otherwise, whatever the reason. Evidence: gate_fixture.RefusalByAnotherDaemonIsNeverForGood printed 404 instead of 503, and instead of 502 or more, against the code before.

--- a/daemon/caller_gate.cc
+++ b/daemon/caller_gate.cc
@@ -16,13 +16,11 @@
 constexpr std::string_view kReasonHeader =
     "x-parsleyyard-reason";  // a refusal_reason; set if there is no answer
 
-// Returns the HTTP status for a result without an answer. Apart from 404, a
-// call that has not run always gets 503, whatever the reason, which tells the
-// caller that it may retry.
+// Returns the HTTP status for the result of a call without an answer. A call
+// that has not run gets 503, whatever the reason, which tells the caller that
+// it may retry: another daemon's reason is no proof of the configuration in
+// force here.
 std::uint16_t StatusFor(const call_result& result) {
-  if (result.reason == refusal_reason::kNoRoute) {
-    return 404;
-  }
   if (result.outcome == call_outcome::kNotRun) {
     return 503;
   }
@@ -53,6 +51,11 @@
   return refusal_reason::kNone;
 }
 
+// The HTTP status for a request that this daemon refuses by its head.
+std::uint16_t StatusForHead(refusal_reason reason) {
+  return reason == refusal_reason::kNoRoute ? 404 : 503;
+}
+
 std::string PathWithoutQuery(const http_request& head) {
   return head.target.substr(0, head.target.find('?'));
 }
@@ -116,7 +119,7 @@
 http_response caller_gate::BuildRefusal(const call_result& result,
                                         const std::string& request) const {
   http_response response{
-      .status = StatusFor(result),
+      .status = result.status,
       .headers = {{.name = "content-type", .value = "text/plain"},
                   {.name = std::string(kOutcomeHeader),
                    .value = std::string(NameOf(result.outcome))},
@@ -138,11 +141,12 @@
   const std::string request = RequestIdFor(head);
   const call_result result{.outcome = call_outcome::kNotRun,
                            .reason = reason,
+                           .status = StatusForHead(reason),
                            .retry_after = kHeadRefusalRetryAfter};
   metrics_.OnCall(
       {.request = request, .outcome = call_outcome::kNotRun, .reason = reason});
   boost::json::object fields{{"request", request},
-                             {"status", StatusFor(result)},
+                             {"status", result.status},
                              {"reason", NameOf(reason)},
                              {"path", PathWithoutQuery(head)}};
   AddViewFields(fields, observed);
@@ -175,17 +179,16 @@
 std::optional<http_response> caller_gate::OnRejected(
     const http_rejection& rejection) {
   const observed_view observed = Observe();
-  const call_result result{
-      .outcome = call_outcome::kNotRun,
-      .reason = CheckRejection(rejection, *observed.view, observed.age),
-      .retry_after = kHeadRefusalRetryAfter};
-  const bool replaced = result.reason != refusal_reason::kNone;
-  const std::uint16_t status = replaced ? StatusFor(result) : rejection.status;
+  const refusal_reason reason =
+      CheckRejection(rejection, *observed.view, observed.age);
+  const bool replaced = reason != refusal_reason::kNone;
+  const std::uint16_t status =
+      replaced ? StatusForHead(reason) : rejection.status;
   metrics_.OnRejected(status, NameOf(rejection.cause));
   boost::json::object fields{{"request", dialect_.RequestId(rejection.head)},
                              {"status", status},
                              {"reason", NameOf(rejection.cause)},
-                             {"because", NameOf(result.reason)},
+                             {"because", NameOf(reason)},
                              {"detail", rejection.detail},
                              {"path", PathWithoutQuery(rejection.head)}};
   AddViewFields(fields, observed);
@@ -194,7 +197,11 @@
   if (!replaced) {
     return std::nullopt;
   }
-  return BuildRefusal(result, RequestIdFor(rejection.head));
+  return BuildRefusal({.outcome = call_outcome::kNotRun,
+                       .reason = reason,
+                       .status = status,
+                       .retry_after = kHeadRefusalRetryAfter},
+                      RequestIdFor(rejection.head));
 }
 
 std::optional<http_response> caller_gate::OnHead(const http_request& head) {
@@ -310,7 +317,10 @@
   ended.record.instance = result.instance;
   ended.record.took = clock_.Now() - ended.started_at;
   const bool answered = result.outcome == call_outcome::kAnswer;
-  ended.record.status = answered ? result.status : StatusFor(result);
+  if (!answered) {
+    result.status = StatusFor(result);
+  }
+  ended.record.status = result.status;
   metrics_.OnCall(ended.record);
   LogCallEnd(ended);
   if (!answered) {
--- a/tests/caller_gate_test.cc
+++ b/tests/caller_gate_test.cc
@@ -179,6 +179,18 @@
   EXPECT_EQ(StatusOf(Exchange(PostByteByByte(kBodyBytes / 2))), 200);
 }
 
+// Guards against a 404 that another daemon's view causes.
+TEST_F(gate_fixture, RefusalByAnotherDaemonIsNeverForGood) {
+  SetView({});
+  for (std::size_t i = 0; i < kRefusalReasonNames.size(); ++i) {
+    result_ = {.outcome = call_outcome::kNotRun,
+               .reason = static_cast<refusal_reason>(i)};
+    EXPECT_EQ(StatusOf(Exchange(Get("/a/"))), 503) << kRefusalReasonNames[i];
+    result_->outcome = call_outcome::kUnknown;
+    EXPECT_GE(StatusOf(Exchange(Get("/a/"))), 502) << kRefusalReasonNames[i];
+  }
+}
+
 // ---------------------------------------------------------------------------
 // Proper requests
 // ---------------------------------------------------------------------------
--- a/tests/gate_fixtures.h
+++ b/tests/gate_fixtures.h
@@ -76,7 +76,8 @@
   std::size_t max_body_bytes = kMaxBodyBytes;
 };
 
-// A gate that answers each call with the length of its body.
+// A gate that answers each call with the length of its body, or with
+// `result_`.
 class gate_fixture : public ::testing::Test {
  protected:
   gate_fixture() {
@@ -90,9 +91,11 @@
         [this](std::uint64_t call, const call_plan&, call_request message) {
           EXPECT_NO_THROW(Encode(message));
           last_call_ = message;
-          gate_->OnResult(call, {.outcome = call_outcome::kAnswer,
-                                 .status = 200,
-                                 .body = std::to_string(message.body.size())});
+          gate_->OnResult(call,
+                          result_.value_or(call_result{
+                              .outcome = call_outcome::kAnswer,
+                              .status = 200,
+                              .body = std::to_string(message.body.size())}));
         },
         [](std::uint64_t) {});
     server_.emplace(workers_.context,
@@ -190,6 +193,7 @@
   std::array<int, 2> pipe_ends_{};
   std::string logged_;
   call_request last_call_;
+  std::optional<call_result> result_;  // of each call; empty: an answer
   std::optional<event_log> log_;
   std::optional<caller_gate> gate_;
   std::optional<http_server> server_;
