Match the field limits of answers to the messages

The daemon beside the instance held answers to a name of 256 bytes and a value of 8192, as the messages did before they took 64 KiB. A name of 257 to 8192 bytes made an answer incomplete, which the caller saw as a 502.

--- a/daemon/upstream_runner.cc
+++ b/daemon/upstream_runner.cc
@@ -12,8 +12,8 @@
 constexpr duration kResponseGracePeriod = std::chrono::milliseconds(60);
 constexpr duration kProbeTimeout = std::chrono::milliseconds(500);
 // Limits on message fields; must match schema/messages.toml.
-constexpr std::size_t kMaxHeaderNameBytes = 256;
-constexpr std::size_t kMaxHeaderValueBytes = 8192;
+constexpr std::size_t kMaxHeaderNameBytes = 65536;
+constexpr std::size_t kMaxHeaderValueBytes = 65536;
 constexpr std::size_t kMaxHeaders = 100;
 constexpr std::size_t kMaxBodyBytes = 12'000'000;
 
