--- a/tests/caller_gate_test.cc
+++ b/tests/caller_gate_test.cc
@@ -179,6 +179,17 @@
   EXPECT_EQ(StatusOf(Exchange(PostByteByByte(kBodyBytes / 2))), 200);
 }
 
+// Guards against a 400 for a chunk extension or a trailer that fills the
+// buffer.
+TEST_F(gate_fixture, FullBufferGets503) {
+  SetView({});
+  const std::string start =
+      "POST /a/ HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n";
+  const std::string filling(160000, 'f');
+  EXPECT_EQ(StatusOf(Exchange(start + "2;e=" + filling + "\r\nok\r\n")), 503);
+  EXPECT_EQ(StatusOf(Exchange(start + "2\r\nok\r\n0\r\nt: " + filling)), 503);
+}
+
 // Guards against a 404 that another daemon's view causes.
 TEST_F(gate_fixture, RefusalByAnotherDaemonIsNeverForGood) {
   SetView({});
