--- a/tests/upstream_runner_test.cc
+++ b/tests/upstream_runner_test.cc
@@ -13,27 +13,32 @@
 
 constexpr std::uint16_t kInstancePort = 18488;
 
-// Responds to each request with a body of `body_bytes`.
+// Gives the same response to each request.
 class instance_stub : public http_handler {
  public:
-  explicit instance_stub(std::size_t body_bytes) : body_bytes_(body_bytes) {}
+  explicit instance_stub(http_response response)
+      : response_(std::move(response)) {}
   std::optional<http_response> OnHead(const http_request& /*head*/) override {
     return std::nullopt;
   }
   std::function<void()> OnRequest(http_request /*request*/,
                                   response_callback reply) override {
-    reply({.headers = {{.name = "Server-Seal", .value = "x"}},
-           .body = std::string(body_bytes_, 'b')});
+    reply(response_);
     return nullptr;
   }
 
  private:
-  const std::size_t body_bytes_;
+  const http_response response_;
 };
 
-upstream_result RunAtInstance(std::size_t body_bytes) {
+http_response SealedResponse(std::size_t body_bytes) {
+  return {.headers = {{.name = "Server-Seal", .value = "x"}},
+          .body = std::string(body_bytes, 'b')};
+}
+
+upstream_result RunAtInstance(http_response response) {
   worker_threads workers;
-  instance_stub instance(body_bytes);
+  instance_stub instance(std::move(response));
   http_server server(workers.context, {.address = kHost, .port = kInstancePort},
                      instance);
   EXPECT_TRUE(server.Listen());
@@ -57,10 +62,17 @@
 
 // Guards against a daemon that ends because an answer fits into no message.
 TEST(UpstreamRunner, AnswerBeyondMessageLimitIsNotComplete) {
-  const upstream_result result = RunAtInstance(13'000'000);
+  const upstream_result result = RunAtInstance(SealedResponse(13'000'000));
   EXPECT_TRUE(result.sent);
   EXPECT_FALSE(result.complete);
-  EXPECT_TRUE(RunAtInstance(12'000'000).complete);
+  EXPECT_TRUE(RunAtInstance(SealedResponse(12'000'000)).complete);
+}
+
+// Guards against a 502 for an answer whose fields fit into a message.
+TEST(UpstreamRunner, AnswerWithLongFieldNameIsComplete) {
+  http_response response = SealedResponse(1);
+  response.headers.push_back({.name = std::string(300, 'n'), .value = "x"});
+  EXPECT_TRUE(RunAtInstance(std::move(response)).complete);
 }
 
 }  // namespace
