Report a message beyond the wire limits as undelivered

A registration with a key of over 200 bytes, for example, would have thrown an exception through the daemon: in a timer it ends the process, and at the opening of a stream it left that stream open, unread and never reported as up. Cause: peer_mesh::Send() encoded the message without catching bound_exceeded. Evidence: Mesh.ReportsMessageBeyondTheWireLimitsAsUndelivered failed before ("length 201 exceeds 200", and OnLinkUp() was not called). Not tried with a store that holds such a key.

--- a/net/net.h
+++ b/net/net.h
@@ -100,8 +100,9 @@
                         std::uint64_t incarnation) = 0;
   // The outgoing stream to the peer ended or could not be opened.
   virtual void OnLinkDown(const host_address& peer) = 0;
-  // The outgoing stream ended while `message` was still waiting for it to open.
-  // Messages lost with a stream that was up are not reported.
+  // The outgoing stream ended while `message` was still waiting for it to open,
+  // or a field of the message exceeds its limit. Messages lost with a stream
+  // that was up are not reported.
   virtual void OnUndelivered(const host_address& to,
                              const any_message& message) = 0;
 };
--- a/net/peer_mesh.cc
+++ b/net/peer_mesh.cc
@@ -21,6 +21,15 @@
 // Delay after an accept that failed.
 constexpr duration kAcceptRetryDelay = std::chrono::milliseconds(10);
 
+// Returns null if a field of the message exceeds its limit.
+frame_ptr TryEncode(const any_message& message) {
+  try {
+    return std::make_shared<const std::string>(Encode(message));
+  } catch (const bound_exceeded&) {
+    return nullptr;
+  }
+}
+
 bool IsControl(const any_message& message) {
   return std::holds_alternative<view_update>(message);
 }
@@ -69,7 +78,10 @@
   asio::awaitable<void> PauseAfterError();
   std::shared_ptr<stream_link> OpenStream(const host_address& peer);
   asio::ip::address_v4 Resolve(const host_address& peer) const;
-  void CountSent(const any_message& message, std::size_t bytes);
+  void SendOn(stream_link& link,
+              const host_address& peer,
+              const any_message& message,
+              bool urgent);
 
   asio::io_context& context_;
   mesh_options options_;
@@ -175,10 +187,21 @@
   return found == outgoing_.end() ? std::nullopt : found->second.incarnation;
 }
 
-void mesh_internals::CountSent(const any_message& message, std::size_t bytes) {
+void mesh_internals::SendOn(stream_link& link,
+                            const host_address& peer,
+                            const any_message& message,
+                            bool urgent) {
+  const frame_ptr frame = TryEncode(message);
+  if (frame == nullptr) {
+    asio::post(context_, [self = shared_from_this(), peer, message] {
+      self->listener_.OnUndelivered(peer, message);
+    });
+    return;
+  }
   if (IsControl(message)) {
-    counters_.control_bytes_sent += bytes;
+    counters_.control_bytes_sent += frame->size();
   }
+  link.Send(frame, urgent);
 }
 
 void mesh_internals::Send(const host_address& peer,
@@ -188,8 +211,7 @@
   if (mode == send_mode::kReply) {
     const auto found = incoming_.find(peer);
     if (found != incoming_.end()) {
-      found->second->Send(std::make_shared<const std::string>(Encode(message)),
-                          false);
+      SendOn(*found->second, peer, message, false);
     }
     return;
   }
@@ -197,9 +219,7 @@
   const bool up = found != outgoing_.end() && found->second.incarnation;
   const bool urgent = mode == send_mode::kUrgent;
   if (up) {
-    const auto frame = std::make_shared<const std::string>(Encode(message));
-    CountSent(message, frame->size());
-    found->second.link->Send(frame, urgent);
+    SendOn(*found->second.link, peer, message, urgent);
     return;
   }
   if (mode == send_mode::kIfConnected || closed_) {
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -198,6 +198,35 @@
   b.Close();
 }
 
+// Guards against a daemon that ends with an exception on one long message.
+TEST(Mesh, ReportsMessageBeyondTheWireLimitsAsUndelivered) {
+  worker_threads pool;
+  counting_listener first;
+  counting_listener second;
+  peer_mesh a(pool.context,
+              {.address = "127.9.0.2", .port = kMeshPort, .incarnation = 2},
+              first);
+  peer_mesh b(pool.context,
+              {.address = "127.9.0.3", .port = kMeshPort, .incarnation = 3},
+              second);
+  ASSERT_TRUE(ListenOn(a) && ListenOn(b));
+  const view_update too_long{.items = {{.key = std::string(201, 'k')}}};
+  a.Send("127.9.0.3", too_long, send_mode::kOpenIfNeeded);
+  EXPECT_TRUE(Eventually([&] { return first.undelivered == 1; }));
+  EXPECT_EQ(first.up_incarnation, 3u);
+  EXPECT_NO_THROW(a.Send("127.9.0.3", too_long, send_mode::kUrgent));
+  EXPECT_TRUE(Eventually([&] { return first.undelivered == 2; }));
+  a.Send("127.9.0.3", call_cancel{}, send_mode::kIfConnected);
+  EXPECT_TRUE(Eventually([&] { return second.messages == 1; }));
+  EXPECT_NO_THROW(b.Send("127.9.0.2",
+                         call_answer{.headers = std::vector<call_header>(101)},
+                         send_mode::kReply));
+  EXPECT_TRUE(Eventually([&] { return second.undelivered == 1; }));
+  EXPECT_EQ(first.link_downs, 0);
+  a.Close();
+  b.Close();
+}
+
 // Guards against a busy loop in a process without free file descriptors.
 TEST(Mesh, WaitsBeforeItAcceptsAgainWithoutFreeFileDescriptors) {
   asio::io_context context;
