Keep an evacuation that a restored store lacks until the operator had time to write it again

Callers' requests were sent into an evacuated failure domain after the store had been restored from a copy without the evacuation: it was dropped after 2.3 s, the time within which instances register again. An operator writes later.

Held evacuations are kept for 10 s or until they are written again, whatever comes first.

--- a/control/control.h
+++ b/control/control.h
@@ -318,6 +318,7 @@
                    const instance& offered,
                    std::uint64_t era) const;
   void NoteDeparture(const std::string& key, const cached_item& cached);
+  bool IsHoldOver(const cached_item& cached, instant now) const;
   void DropHeldItems(instant now);
   void ShowHiddenItems(instant now);
   bool MayHaveMissedOutage(instant now) const;
@@ -365,9 +366,10 @@
   bool failed_since_confirmed_ = false;  // a read failed after confirmed_at_
   instant config_changed_at_ = instant::min() / 2;
   instant read_started_at_{};
-  instant next_read_{};            // earliest time of the next read
-  instant back_off_until_{};       // end of the back-off after a failed read
-  instant removals_held_until_{};  // held items are kept until then
+  instant next_read_{};               // earliest time of the next read
+  instant back_off_until_{};          // end of the back-off after a failed read
+  instant removals_held_until_{};     // held instances are kept until then
+  instant evacuations_held_until_{};  // held evacuations are kept until then
   // The store lists an older configuration than the one in force.
   bool config_ahead_of_store_ = false;
   bool stale_reported_ = false;
--- a/control/view_items.cc
+++ b/control/view_items.cc
@@ -17,6 +17,10 @@
 // Time after which the store removes the registration of an instance that has
 // been silent: three heartbeats of 1.5 s, and some margin.
 constexpr duration kRegistrationLifetime = std::chrono::milliseconds(5000);
+// Time from a restore within which the operator writes again what the store
+// lost. An evacuation that it does not write again is over after that: to end
+// it sooner would send calls into a failure domain that is down.
+constexpr duration kRewriteTime = std::chrono::seconds(10);
 // Time for which an instance that has left is remembered. Copies that a store
 // is restored from are some seconds old.
 constexpr duration kDepartureMemory = std::chrono::seconds(60);
@@ -144,6 +148,7 @@
     cached_item& cached = items_[item.key];
     cached.held = !std::holds_alternative<config_pointer>(cached.decoded);
     config_ahead_of_store_ |= !cached.held;
+    evacuations_held_until_ = clock_.Now() + kRewriteTime;
     return changed;
   }
   cached_item& cached = found->second;
@@ -186,6 +191,7 @@
   Report("store restored from an older copy", std::to_string(as_of.era),
          "what it lacks is kept until it had time to be written again");
   HoldRemovals();
+  evacuations_held_until_ = clock_.Now() + kRewriteTime;
   for (auto& [key, cached] : items_) {
     const bool listed = present.contains(key);
     const bool is_config =
@@ -196,22 +202,25 @@
   }
 }
 
+bool view_keeper::IsHoldOver(const cached_item& cached, instant now) const {
+  const bool is_evacuation = std::holds_alternative<evacuation>(cached.decoded);
+  return cached.held && now >= (is_evacuation ? evacuations_held_until_
+                                              : removals_held_until_);
+}
+
 void view_keeper::DropHeldItems(instant now) {
-  if (now < removals_held_until_) {
-    return;
-  }
   std::size_t dropped = 0;
   for (auto next = items_.begin(); next != items_.end();) {
     const auto entry = next++;
-    if (entry->second.held) {
+    if (IsHoldOver(entry->second, now)) {
       NoteDeparture(entry->first, entry->second);
       items_.erase(entry);
       ++dropped;
     }
   }
   if (dropped > 0) {
-    Report("expired instances removed", std::to_string(dropped),
-           "they did not register again in time");
+    Report("held items removed", std::to_string(dropped),
+           "they were not written again in time");
     PublishSnapshot();
   }
 }
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -714,8 +714,8 @@
   const simulated_store::copy copy = world.store().Copy();
   world.Evacuate(1, true);
   world.Run(seconds(1));
-  world.RestoreStore(copy, milliseconds(1500));
-  for (int step = 0; step < 50; ++step) {
+  world.RestoreStore(copy, seconds(4));
+  for (int step = 0; step < 120; ++step) {
     world.Run(milliseconds(100));
     ASSERT_TRUE(world.View(0).evacuated.contains("domain-1")) << step;
   }
@@ -724,6 +724,17 @@
   EXPECT_FALSE(world.View(0).evacuated.contains("domain-1"));
 }
 
+TEST(RestoredStore, EvacuationThatIsNotWrittenAgainEnds) {
+  view_world world(kDaemons);
+  world.Run(seconds(5));
+  const simulated_store::copy copy = world.store().Copy();
+  world.Evacuate(1, true);
+  world.Run(seconds(1));
+  world.RestoreStore(copy, seconds(60));
+  world.Run(seconds(12));
+  EXPECT_TRUE(world.View(0).evacuated.empty());
+}
+
 TEST(RestoredStore, SeveralRestoresInARow) {
   view_world world(kDaemons);
   world.Run(seconds(5));
