Take no confirmation from the first update after a pause at the start

A daemon that was paused between its start and its first update took the time of its construction for the time at which the store confirmed its view: an age of at most the pause, whatever the update had waited, and a 404 by it.

Evidence: Control.FirstUpdateAfterPauseAtStartConfirmsNothing had an age of 1.2 s before.

--- a/control/view_updates.cc
+++ b/control/view_updates.cc
@@ -222,7 +222,9 @@
       pause_guard_.AwaitsConfirmation(own_read_confirmed_at_, now);
   const bool may_have_waited =
       pause_guard_.AwaitsConfirmation(own_read_confirmed_at_, now);
-  ConfirmPosition(offered, may_have_waited ? confirmed_at_ : confirmed,
+  // Without a view nothing was confirmed before.
+  const instant known_at = HasView() ? confirmed_at_ : instant::min() / 2;
+  ConfirmPosition(offered, may_have_waited ? known_at : confirmed,
                   may_have_waited ? news_at_ : news_at);
   if (changed) {
     PublishSnapshot();
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -338,6 +338,19 @@
   EXPECT_EQ(test.environment.sent[0].age_ms, 2010u);
 }
 
+TEST(Control, FirstUpdateAfterPauseAtStartConfirmsNothing) {
+  manual_clock clock;
+  text_decoder decoder;
+  recording_environment environment;
+  view_keeper keeper({.address = "10.0.0.1"}, clock, decoder, environment,
+                     environment, environment);
+  keeper.Tick();
+  clock.now += milliseconds(1200);
+  keeper.OnUpdate({.root = "10.0.0.2", .to_revision = 5, .age_ms = 10});
+  EXPECT_EQ(keeper.Status().position.revision, 5u);
+  EXPECT_GT(keeper.Status().age, duration(seconds(60)));
+}
+
 // A daemon that hears of all changes late would hear no sooner from the store.
 TEST(Control, UpdatesThatWaitedOnTheirWayCauseNoReadsOfTheStore) {
   keeper_with_instance test;
