Confirm a short watch only for the time that it waited

The age of a view was too low by up to 0.5 s. A daemon that is behind asks the store with a wait of 1 ms; if the response took longer than the usual wait of 500 ms, the view counted as confirmed 500 ms after the request. With the 1.5 s up to which a view is sure enough for a 404, that used up the whole margin.

The wait that was asked for is kept. Ages beyond the range of a message are clamped in place of wrapping, and a peer that starts gets the full view after a lack of news, not after updates that were late.

Evidence: Control.LateResponseToShortWatchConfirmsTheTimeOfItsRequest.

--- a/control/control.h
+++ b/control/control.h
@@ -366,6 +366,7 @@
   bool failed_since_confirmed_ = false;  // a read failed after confirmed_at_
   instant config_changed_at_ = instant::min() / 2;
   instant read_started_at_{};
+  duration watch_wait_{};             // of the last watch
   instant next_read_{};               // earliest time of the next read
   instant back_off_until_{};          // end of the back-off after a failed read
   instant removals_held_until_{};     // held instances are kept until then
--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -240,7 +240,8 @@
     return source_.ReadAll();
   }
   needs_catch_up_ = false;
-  source_.Watch(position_.revision, behind ? kMinWatchWait : options_.watch);
+  watch_wait_ = behind ? kMinWatchWait : options_.watch;
+  source_.Watch(position_.revision, watch_wait_);
 }
 
 void view_keeper::OnSourceFailure(source_failure why) {
@@ -405,9 +406,9 @@
   // The store sends an empty response at the end of the wait, so it confirms
   // the view at that time and not at the start of the read.
   const bool waited =
-      update.items.empty() && now - read_started_at_ >= options_.watch;
+      update.items.empty() && now - read_started_at_ >= watch_wait_;
   const instant confirmed =
-      waited ? read_started_at_ + options_.watch : read_started_at_;
+      waited ? read_started_at_ + watch_wait_ : read_started_at_;
   ApplyRead(LatestPerKey(std::move(update.items)), update.as_of, confirmed);
 }
 
--- a/control/view_updates.cc
+++ b/control/view_updates.cc
@@ -30,8 +30,9 @@
 constexpr duration kDuplicateUpdateWindow = std::chrono::milliseconds(100);
 
 std::uint32_t ToMilliseconds(duration value) {
+  constexpr duration::rep kMax = std::numeric_limits<std::uint32_t>::max();
   return static_cast<std::uint32_t>(
-      std::max<duration::rep>(0, value.count() / 1000));
+      std::clamp<duration::rep>(value.count() / 1000, 0, kMax));
 }
 
 std::uint64_t HashOf(const std::string& value) {
@@ -335,7 +336,8 @@
   if (!HasView()) {
     return;
   }
-  const bool store_unavailable = Age(clock_.Now()) >= options_.stale_after;
+  const bool store_unavailable =
+      TimeSinceNews(clock_.Now()) >= options_.stale_after;
   const bool is_startup_reader =
       IsInOwnRegion(peer) && RankInRegion(peer) < kStartupReaders;
   const bool needs_this_daemon =
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -351,6 +351,19 @@
   EXPECT_GT(keeper.Status().age, duration(seconds(60)));
 }
 
+TEST(Control, LateResponseToShortWatchConfirmsTheTimeOfItsRequest) {
+  keeper_with_instance test;
+  for (int i = 0; i < 10 && test.environment.watches == 0; ++i) {
+    test.clock.now += milliseconds(300);
+    test.keeper.Tick();
+  }
+  ASSERT_EQ(test.environment.watches, 1);
+  const instant asked_at = test.clock.now;
+  test.clock.now += milliseconds(600);
+  test.keeper.OnWatchResult({.as_of = test.store.position()});
+  EXPECT_LE(test.keeper.Status().confirmed_at, asked_at + milliseconds(1));
+}
+
 // A daemon that hears of all changes late would hear no sooner from the store.
 TEST(Control, UpdatesThatWaitedOnTheirWayCauseNoReadsOfTheStore) {
   keeper_with_instance test;
