Keep what a restored store lacks through further reads, peers and restores

Callers could be sent into an evacuated failure domain, or to an instance that had left, after a restore: a second full read dropped held items at once, the held items of a peer were taken for listed ones and kept for ever, a second restore showed an instance that had left, and a daemon that had read the store since ignored what its peers held.

A full read leaves held items to the end of their hold. Held items of a peer's full view are held by the receiver too, and applied if its own position is later. A hidden registration stays hidden for a lifetime after each restore. A peer that starts gets the full view while anything is held.

Found by review; the tests RestoredStore.SecondFullReadDropsNoHeldEvacuation, HeldItemsOfAPeerAreHeldByItsReceiver, HeldItemsReachDaemonThatHasReadTheStoreSince and SecondRestoreShowsNoInstanceThatLeft failed before.

--- a/control/control.h
+++ b/control/control.h
@@ -305,7 +305,10 @@
                        instant at,
                        instant news_at);
   bool ApplyItem(const source_item& item, std::uint64_t era);
+  void KeepUnchanged(const store_position& position, cached_item& cached);
   bool ApplyHeldItem(const source_item& item, std::uint64_t era);
+  void ApplyHeldItems(const view_update& message);
+  bool HoldsItems() const;
   bool ApplyRemoval(const source_item& item, std::uint64_t era);
   bool ApplyValue(const source_item& item, cached_item& cached);
   bool ApplyInstance(const source_item& item,
--- a/control/view_items.cc
+++ b/control/view_items.cc
@@ -102,7 +102,9 @@
 void view_keeper::ShowHiddenItems(instant now) {
   bool changed = false;
   for (auto& [key, cached] : items_) {
-    if (cached.hidden_until != instant() && now >= cached.hidden_until) {
+    const bool is_over =
+        cached.hidden_until != instant() && now >= cached.hidden_until;
+    if (is_over && !cached.held) {
       cached.hidden_until = instant();
       departed_.erase(key);
       changed = true;
@@ -132,7 +134,7 @@
   const bool is_unchanged = known && found->second.position.era != era &&
                             found->second.value == item.value;
   if (is_unchanged) {
-    found->second.position = position;
+    KeepUnchanged(position, found->second);
     return false;
   }
   cached_item& cached = items_[item.key];
@@ -140,6 +142,18 @@
   return ApplyValue(item, cached);
 }
 
+// A registration that stays hidden expires later: its lease runs anew.
+void view_keeper::KeepUnchanged(const store_position& position,
+                                cached_item& cached) {
+  cached.position = position;
+  if (std::holds_alternative<config_pointer>(cached.decoded)) {
+    config_ahead_of_store_ = false;
+  }
+  if (cached.hidden_until != instant()) {
+    cached.hidden_until = clock_.Now() + kRegistrationLifetime;
+  }
+}
+
 // Applies an item that a peer keeps although the store lacks it.
 bool view_keeper::ApplyHeldItem(const source_item& item, std::uint64_t era) {
   const auto found = items_.find(item.key);
--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -252,7 +252,7 @@
     return PlanFullRead();
   }
   if (why == source_failure::kEraChanged) {
-    next_read_ = now;
+    next_read_ = now + options_.pause;
     return;
   }
   // A watch returns all that was missed, which can be more than the link
@@ -305,10 +305,12 @@
 }
 
 // A full read does not list removals: a cached item that it lacks was removed.
+// Held items are missing from it until they are written again.
 void view_keeper::AddImpliedRemovals(source_update& update) const {
   const std::set<std::string> present = KeysOf(update.items);
   for (const auto& [key, cached] : items_) {
-    if (!present.contains(key) && cached.position <= update.as_of) {
+    if (!cached.held && !present.contains(key) &&
+        cached.position <= update.as_of) {
       update.items.push_back(
           {.key = key, .revision = update.as_of.revision, .removed = true});
     }
--- a/control/view_updates.cc
+++ b/control/view_updates.cc
@@ -148,7 +148,9 @@
   const store_position as_of = PositionOf(full_update);
   std::set<std::string> present;
   for (const view_item& item : full_update.items) {
-    present.insert(item.key);
+    if (!item.held || !HasView()) {
+      present.insert(item.key);
+    }
   }
   if (BeginsEra(as_of)) {
     return BeginEra(present, as_of);
@@ -191,7 +193,7 @@
                  now + std::chrono::milliseconds(message.removals_held_ms));
   }
   if (HasView() && offered < position_) {
-    return;
+    return ApplyHeldItems(message);
   }
   const auto items = UnpackItems(message);
   const bool is_full = message.from_revision == 0;
@@ -232,6 +234,24 @@
   }
 }
 
+// A daemon that has read the store since may still lack what its peers hold.
+void view_keeper::ApplyHeldItems(const view_update& message) {
+  const auto items = UnpackItems(message);
+  bool changed = false;
+  for (const source_item& item : items.value_or(std::vector<source_item>())) {
+    changed |= item.held && ApplyHeldItem(item, message.era);
+  }
+  if (changed) {
+    PublishSnapshot();
+  }
+}
+
+bool view_keeper::HoldsItems() const {
+  return config_ahead_of_store_ ||
+         std::any_of(items_.begin(), items_.end(),
+                     [](const auto& entry) { return entry.second.held; });
+}
+
 view_update view_keeper::BuildFullUpdate() const {
   view_update full_update = EmptyUpdate(0);
   for (const auto& [key, cached] : items_) {
@@ -341,7 +361,7 @@
   const bool is_startup_reader =
       IsInOwnRegion(peer) && RankInRegion(peer) < kStartupReaders;
   const bool needs_this_daemon =
-      CountPeersInRegion() > kSmallRegionPeers || config_ahead_of_store_;
+      CountPeersInRegion() > kSmallRegionPeers || HoldsItems();
   if (store_unavailable || (is_startup_reader && needs_this_daemon)) {
     Send(peer, BuildFullUpdate());
   }
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -761,6 +761,89 @@
   EXPECT_TRUE(world.View(0).evacuated.empty());
 }
 
+// A daemon that knows an evacuation and a configuration that the restored store
+// lacks.
+struct keeper_after_restore : keeper_with_instance {
+  keeper_after_restore() {
+    store.Put("config", "3", clock.now);
+    copy = store.Copy();
+    store.Put("config", "4", clock.now);
+    store.Put("out/domain-1", "", clock.now);
+    keeper.OnWatchResult(store.AllItems());
+    Restore();
+  }
+  void Restore() {
+    store.Restore(copy);
+    ReadAll();
+  }
+  void ReadAll() {
+    keeper.Tick();
+    keeper.OnFullRead(store.AllItems());
+  }
+  simulated_store::copy copy;
+};
+
+TEST(RestoredStore, SecondFullReadDropsNoHeldEvacuation) {
+  keeper_after_restore test;
+  test.store.Put("i/2", InstanceText("10.0.0.9", "domain-0"), test.clock.now);
+  test.ReadAll();
+  EXPECT_TRUE(test.keeper.Current()->evacuated.contains("domain-1"));
+}
+
+TEST(RestoredStore, HeldItemsOfAPeerAreHeldByItsReceiver) {
+  keeper_after_restore sender;
+  keeper_with_instance receiver;
+  receiver.store.Put("out/domain-1", "", receiver.clock.now);
+  receiver.keeper.OnWatchResult(receiver.store.AllItems());
+  sender.environment.sent.clear();
+  sender.keeper.OnPeerStarted("10.0.0.5");
+  ASSERT_EQ(sender.environment.sent.size(), 1u);
+  receiver.keeper.OnUpdate(sender.environment.sent[0]);
+  EXPECT_EQ(receiver.keeper.Status().version, 4u);
+  EXPECT_TRUE(receiver.keeper.Current()->evacuated.contains("domain-1"));
+  for (int i = 0; i < 24; ++i) {
+    receiver.clock.now += milliseconds(500);
+    receiver.keeper.Tick();
+  }
+  EXPECT_FALSE(receiver.keeper.Current()->evacuated.contains("domain-1"))
+      << "it was not written again";
+}
+
+TEST(RestoredStore, HeldItemsReachDaemonThatHasReadTheStoreSince) {
+  keeper_after_restore sender;
+  sender.environment.sent.clear();
+  sender.keeper.OnPeerStarted("10.0.0.5");
+  ASSERT_EQ(sender.environment.sent.size(), 1u);
+  sender.store.Put("i/2", InstanceText("10.0.0.9", "domain-0"),
+                   sender.clock.now);
+  recording_environment environment;
+  view_keeper started({.address = "10.0.0.5"}, sender.clock, sender.decoder,
+                      environment, environment, environment);
+  started.Tick();
+  started.OnStateRead(sender.store.AllItems());
+  started.Tick();
+  started.OnFullRead(sender.store.AllItems());
+  ASSERT_EQ(started.Status().version, 3u);
+  started.OnUpdate(sender.environment.sent[0]);
+  EXPECT_EQ(started.Status().version, 4u);
+  EXPECT_TRUE(started.Current()->evacuated.contains("domain-1"));
+}
+
+TEST(RestoredStore, SecondRestoreShowsNoInstanceThatLeft) {
+  view_world world(kDaemons);
+  world.Run(seconds(5));
+  const simulated_store::copy copy = world.store().Copy();
+  world.RemoveInstance(5);
+  world.Run(seconds(1));
+  world.RestoreStore(copy, seconds(60));
+  world.Run(seconds(4));
+  world.RestoreStore(copy, seconds(60));
+  world.Run(milliseconds(3500));
+  for (int i = 0; i < kDaemons; ++i) {
+    EXPECT_FALSE(world.View(i).instances.contains("5")) << i;
+  }
+}
+
 TEST(RestoredStore, SeveralRestoresInARow) {
   view_world world(kDaemons);
   world.Run(seconds(5));
