Let the first two daemons of a region read for it after a missed update

Cause: updates are deltas.

After a missed update the first two daemons of a large region read the store and send the full view to the others, which wait for it, longer the later they come. A full view now also tells what was removed. A log line states the missed update.

Evidence: Control.FewDaemonsReadAfterRegionMissedAnUpdate.

--- a/control/control.h
+++ b/control/control.h
@@ -273,7 +273,9 @@
   std::size_t RankInRegion(const host_address& except) const;
   std::size_t CountPeersInRegion() const;
   bool WaitsForStartupReaders() const;
+  bool ReadsForRegionAtStart() const;
   void SendFullUpdateToRegion();
+  void MissUpdate();
   void RequestUpdates() const;
   void RequestUpdatesIfUnlisted(instant now);
   void SendToSubscribers(const view_update& update);
@@ -366,6 +368,7 @@
   bool needs_full_read_ = true;          // the next read must be a full one
   bool state_read_ = false;              // the first read is complete
   bool needs_catch_up_ = false;          // updates were missed; read at once
+  bool shares_next_read_ = false;        // send the result to the region
   bool failed_since_confirmed_ = false;  // a read failed after confirmed_at_
   instant config_changed_at_ = instant::min() / 2;
   instant read_started_at_{};
--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -439,10 +439,11 @@
   if (changed) {
     PublishSnapshot();
   }
-  if (is_first_view) {
-    return SendFullUpdateToRegion();
+  const bool shares_read = std::exchange(shares_next_read_, false);
+  if (is_first_view ? ReadsForRegionAtStart() : shares_read) {
+    SendFullUpdateToRegion();
   }
-  if (!active_reader_) {
+  if (is_first_view || !active_reader_) {
     return;
   }
   StampUpdate(update);
--- a/control/view_updates.cc
+++ b/control/view_updates.cc
@@ -20,6 +20,10 @@
 // it only a few times per second.
 constexpr std::size_t kSmallRegionPeers = 8;
 constexpr std::size_t kStartupReaders = 2;
+// In such a region, wait of the other daemons for the full view after a missed
+// update, and what each place in the address order adds to it.
+constexpr duration kSharedReadDelay = std::chrono::milliseconds(700);
+constexpr duration kSharedReadStep = std::chrono::milliseconds(40);
 // An unlisted daemon requests updates at this interval. A peer sends it updates
 // until no request has arrived for the timeout.
 constexpr duration kUpdateRequestInterval = std::chrono::milliseconds(500);
@@ -52,6 +56,11 @@
          RankInRegion("") >= kStartupReaders;
 }
 
+// True if this daemon is the first of a large region.
+bool view_keeper::ReadsForRegionAtStart() const {
+  return CountPeersInRegion() > kSmallRegionPeers && RankInRegion("") == 0;
+}
+
 view_update view_keeper::EmptyUpdate(std::uint64_t from_revision) const {
   view_update update{
       .root = options_.address,
@@ -141,26 +150,51 @@
   return items;
 }
 
-// A full update does not list removals. This matters only at the beginning of
-// an era, and to a daemon without a view: it has read the registrations, and
-// some may have been removed since.
+// A full update does not list removals: what it lacks was removed, unless its
+// sender had not seen it yet.
 void view_keeper::DropItemsMissingFrom(const view_update& full_update) {
   const store_position as_of = PositionOf(full_update);
+  std::set<std::string> listed;
   std::set<std::string> present;
   for (const view_item& item : full_update.items) {
-    if (!item.held || !HasView()) {
-      present.insert(item.key);
+    present.insert(item.key);
+    if (!item.held) {
+      listed.insert(item.key);
     }
   }
   if (BeginsEra(as_of)) {
-    return BeginEra(present, as_of);
+    return BeginEra(listed, as_of);
   }
-  if (HasView()) {
+  std::vector<std::string> missing;
+  for (const auto& [key, cached] : items_) {
+    if (!cached.held && !present.contains(key) && cached.position <= as_of) {
+      missing.push_back(key);
+    }
+  }
+  for (const std::string& key : missing) {
+    ApplyRemoval({.key = key, .revision = as_of.revision, .removed = true},
+                 as_of.era);
+  }
+}
+
+// Handles an update whose base this daemon does not have. In a large region the
+// first two daemons read the store and send the full view to the others: the
+// link to another region does not carry it to all of them at once.
+void view_keeper::MissUpdate() {
+  if (!HasView() || needs_catch_up_) {
     return;
   }
-  std::erase_if(items_, [&](const auto& entry) {
-    return !present.contains(entry.first) && entry.second.position <= as_of;
-  });
+  needs_catch_up_ = true;
+  Report("update not applied", "", "an earlier one is missing");
+  const std::size_t rank = RankInRegion("");
+  const bool reads_for_region =
+      CountPeersInRegion() > kSmallRegionPeers && IsListed();
+  shares_next_read_ = reads_for_region && rank < kStartupReaders;
+  if (reads_for_region && rank > 0) {
+    next_read_ =
+        std::max(next_read_, clock_.Now() + kSharedReadDelay +
+                                 kSharedReadStep * static_cast<int>(rank));
+  }
 }
 
 void view_keeper::OnUpdate(view_update message) {
@@ -201,8 +235,7 @@
     return MissEra(message.root);
   }
   if (message.from_revision > position_.revision || !items) {
-    needs_catch_up_ = HasView();
-    return;
+    return MissUpdate();
   }
   const bool originator_comes_first =
       AddressOrder(message.root) < AddressOrder(options_.address);
@@ -211,7 +244,7 @@
     Report("no longer active reader", options_.address,
            "a daemon earlier in the address order reads the store");
   }
-  bool changed = !HasView() || BeginsEra(offered);
+  bool changed = !HasView() || is_full;
   if (is_full) {
     DropItemsMissingFrom(message);
   }
@@ -220,6 +253,7 @@
                          : ApplyItem(item, offered.era);
   }
   // No change is missing any more, but after a pause an own read is needed.
+  shares_next_read_ = false;
   needs_full_read_ = false;
   needs_catch_up_ &=
       pause_guard_.AwaitsConfirmation(own_read_confirmed_at_, now);
@@ -269,12 +303,8 @@
 }
 
 // Sends the full view to all daemons of a large region, which wait for it when
-// the whole fleet starts. Only the first daemon of the region in the address
-// order does so.
+// the whole fleet starts or when all have missed an update.
 void view_keeper::SendFullUpdateToRegion() {
-  if (CountPeersInRegion() <= kSmallRegionPeers || RankInRegion("") != 0) {
-    return;
-  }
   const relay_range all{.first = 0,
                         .last = std::numeric_limits<std::uint64_t>::max()};
   Relay(BuildFullUpdate(),
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -257,7 +257,7 @@
     store.Remove("i/1", clock.now);
     keeper.OnUpdate(
         {.root = "10.0.0.2",
-         .era = store.position().era,
+         .era = store.Position().era,
          .from_revision = known,
          .to_revision = store.revision(),
          .removals_held_ms = 2000,
@@ -304,7 +304,7 @@
       {.root = "10.0.0.2",
        .cover_from = 0,
        .cover_to = std::numeric_limits<std::uint64_t>::max(),
-       .era = test.store.position().era,
+       .era = test.store.Position().era,
        .from_revision = test.store.revision(),
        .to_revision = test.store.revision(),
        .age_ms = 10,
@@ -360,7 +360,7 @@
   ASSERT_EQ(test.environment.watches, 1);
   const instant asked_at = test.clock.now;
   test.clock.now += milliseconds(600);
-  test.keeper.OnWatchResult({.as_of = test.store.position()});
+  test.keeper.OnWatchResult({.as_of = test.store.Position()});
   EXPECT_LE(test.keeper.Status().confirmed_at, asked_at + milliseconds(1));
 }
 
@@ -596,6 +596,39 @@
   EXPECT_EQ(world.Violations(), std::vector<std::string>());
 }
 
+// Cuts the southern region from its peers for less time than a takeover takes,
+// so that it misses updates.
+void MissUpdatesInTheSouth(view_world& world, int daemons) {
+  const auto cut = [&](bool partitioned) {
+    for (int i = 0; i < daemons; ++i) {
+      if (i % 4 >= 2) {
+        world.SetPeerPartition(i, partitioned);
+      }
+    }
+  };
+  cut(true);
+  world.PublishConfiguration();
+  world.RemoveInstance(5);
+  world.Run(milliseconds(500));
+  cut(false);
+  world.PublishConfiguration();
+}
+
+// Guards against a region whose daemons all read the store over a full link.
+TEST(Control, FewDaemonsReadAfterRegionMissedAnUpdate) {
+  constexpr int kLargeFleet = 80;
+  view_world world(kLargeFleet);
+  world.Run(seconds(5));
+  const std::uint64_t before = world.reads();
+  MissUpdatesInTheSouth(world, kLargeFleet);
+  world.Run(milliseconds(1500));
+  for (int i = 0; i < kLargeFleet; ++i) {
+    EXPECT_EQ(world.Status(i).version, 3u) << i;
+    EXPECT_FALSE(world.View(i).instances.contains("5")) << i;
+  }
+  EXPECT_LE(world.reads() - before, 16u);
+}
+
 // ---------------------------------------------------------------------------
 // A store that was restored from an older copy
 // ---------------------------------------------------------------------------
@@ -656,7 +689,7 @@
   store.Restore(copy);
   old_daemon.keeper.Tick();
   old_daemon.keeper.OnFullRead(store.AllItems());
-  ASSERT_EQ(old_daemon.keeper.Status().position, store.position());
+  ASSERT_EQ(old_daemon.keeper.Status().position, store.Position());
   old_daemon.environment.sent.clear();
   old_daemon.keeper.OnPeerStarted("10.0.0.5");
   ASSERT_EQ(old_daemon.environment.sent.size(), 1u);
@@ -906,7 +939,7 @@
 
 // Position of the next era after that of the store.
 store_position NextEra(const simulated_store& store) {
-  return {.era = store.position().era + 1, .revision = store.revision()};
+  return {.era = store.Position().era + 1, .revision = store.revision()};
 }
 
 TEST(RestoredStore, AnswerOfEarlierEraThatArrivesLateIsIgnored) {
@@ -922,7 +955,7 @@
   ASSERT_EQ(test.keeper.Status().position, next.as_of);
   const instant confirmed_at = test.keeper.Status().confirmed_at;
   for (const std::uint64_t era :
-       {test.store.position().era, std::uint64_t{0}}) {
+       {test.store.Position().era, std::uint64_t{0}}) {
     test.clock.now += seconds(1);
     test.keeper.Tick();
     test.keeper.OnWatchResult({.as_of = {.era = era, .revision = 99}});
@@ -937,7 +970,7 @@
 
 TEST(RestoredStore, UpdateOfEarlierEraConfirmsNothing) {
   keeper_with_instance test;
-  const store_position known = test.store.position();
+  const store_position known = test.store.Position();
   test.keeper.OnUpdate({.root = "10.0.0.2",
                         .era = known.era + 1,
                         .to_revision = known.revision});
@@ -958,7 +991,7 @@
   const int before = test.environment.full_reads;
   test.keeper.OnWatchResult(
       {.items = {{.key = "i/1", .revision = 9, .removed = true}},
-       .as_of = {.era = test.store.position().era + 1, .revision = 9}});
+       .as_of = {.era = test.store.Position().era + 1, .revision = 9}});
   EXPECT_EQ(test.keeper.Current()->instances.size(), 1u);
   test.keeper.Tick();
   EXPECT_EQ(test.environment.full_reads, before + 1);
--- a/tests/view_world.cc
+++ b/tests/view_world.cc
@@ -118,7 +118,7 @@
 }
 
 source_update simulated_store::AllItems() const {
-  source_update update{.as_of = position()};
+  source_update update{.as_of = Position()};
   for (const auto& [key, item] : items_) {
     update.items.push_back(item);
   }
@@ -126,7 +126,7 @@
 }
 
 source_update simulated_store::ChangesAfter(std::uint64_t revision) const {
-  source_update update{.as_of = position()};
+  source_update update{.as_of = Position()};
   for (const change& each : history_) {
     const auto found = items_.find(each.key);
     if (each.revision <= revision) {
@@ -460,7 +460,7 @@
     }
     for (const auto& change : store_.history()) {
       const bool due = clock_.now - change.at > kMaxChangeDelay;
-      const store_position position{.era = store_.position().era,
+      const store_position position{.era = store_.Position().era,
                                     .revision = change.revision};
       if (due && position > status.position) {
         violations_.push_back(
--- a/tests/view_world.h
+++ b/tests/view_world.h
@@ -71,7 +71,7 @@
   // do.
   void WriteAgain(instant now);
   std::uint64_t revision() const { return revision_; }
-  store_position position() const {
+  store_position Position() const {
     return {.era = era_, .revision = revision_};
   }
   const std::vector<change>& history() const { return history_; }
