--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <future>
 
 namespace parsleyyard {
@@ -94,9 +95,12 @@
   }
 };
 
-TEST(StoreClient, ReadStatesTheEraOfTheStore) {
+// Reads all of a store whose two pages are of the given eras.
+void ReadTwoPages(const std::string& first_era,
+                  const std::string& second_era,
+                  const std::function<void(read_listener&)>& check) {
   worker_threads workers;
-  two_page_store store("4", "4");
+  two_page_store store(first_era, second_era);
   http_server server(workers.context, {.address = kHost, .port = kStorePort},
                      store);
   ASSERT_TRUE(server.Listen());
@@ -104,22 +108,21 @@
   platform::store_client client(
       workers.context, {.address = kHost, .port = kStorePort}, listener);
   client.ReadAll();
-  const source_update update = listener.state.get_future().get();
-  EXPECT_EQ(update.as_of, (store_position{.era = 4, .revision = 7}));
-  EXPECT_EQ(update.items.size(), 2u);
+  check(listener);
+}
+
+TEST(StoreClient, ReadStatesTheEraOfTheStore) {
+  ReadTwoPages("4", "4", [](read_listener& listener) {
+    const source_update update = listener.state.get_future().get();
+    EXPECT_EQ(update.as_of, (store_position{.era = 4, .revision = 7}));
+    EXPECT_EQ(update.items.size(), 2u);
+  });
 }
 
 TEST(StoreClient, PagesOfTwoErasMakeNoResult) {
-  worker_threads workers;
-  two_page_store store("4", "5");
-  http_server server(workers.context, {.address = kHost, .port = kStorePort},
-                     store);
-  ASSERT_TRUE(server.Listen());
-  read_listener listener;
-  platform::store_client client(
-      workers.context, {.address = kHost, .port = kStorePort}, listener);
-  client.ReadAll();
-  EXPECT_EQ(listener.failure.get_future().get(), source_failure::kEraChanged);
+  ReadTwoPages("4", "5", [](read_listener& listener) {
+    EXPECT_EQ(listener.failure.get_future().get(), source_failure::kEraChanged);
+  });
 }
 
 TEST(StoreClient, TellsIncompleteResponseFromNoResponse) {
