Read and run pipelined idempotent requests before the earlier ones are answered

Callers saw: a request sent behind another one on its connection was read only after the response before it was written, so that one slow request delayed all behind it, and a caller that left behind unread requests was not noticed.

Cause: the session read, ran and answered one request at a time.

Change: a coroutine reads and starts requests, and responses are written beside it in the order of the requests. Only what the handler allows (idempotent routes) runs beside others; any other request runs alone, since a caller sends again whatever stood behind a response that closes the connection. A close is announced with the last response to a request that was read. Deadlines count from the arrival. Bounded by calls.max_pipelined and calls.max_pipelined_bytes.

--- a/calls/calls.h
+++ b/calls/calls.h
@@ -49,6 +49,7 @@
   std::string virtual_host;
   std::string path;     // without a query
   duration deadline{};  // time that the caller allows; zero: no limit stated
+  duration waited{};    // time since the request arrived
 };
 
 // Either a plan, or the reason for which the request is refused.
@@ -101,12 +102,16 @@
                          const request_facts& facts);
 
 // Plans or refuses a request by its head, before any of the body is read. The
-// deadline is the shorter of the route's timeout and the caller's deadline.
+// deadline is the shorter of the route's timeout and the caller's deadline. All
+// times count from the arrival of the request.
 head_decision DecideHead(const snapshot& view,
                          duration view_age,
                          const request_facts& facts,
                          route_splitter& splitter);
 
+// Returns true if the route of the request is known and idempotent.
+bool IsIdempotent(const snapshot& view, const request_facts& facts);
+
 // Provides the current snapshot.
 class view_source {
  public:
--- a/calls/plan.cc
+++ b/calls/plan.cc
@@ -21,6 +21,10 @@
                     });
 }
 
+duration TimeLeft(duration limit, duration waited) {
+  return std::max(limit - waited, duration::zero());
+}
+
 }  // namespace
 
 // Smooth weighted round robin: each pick adds the weight of each service to its
@@ -101,6 +105,7 @@
   if (facts.deadline > duration::zero()) {
     deadline = std::min(deadline, facts.deadline);
   }
+  const duration objective = std::min(found->objective, deadline);
   return {
       .plan = {.service = splitter.PickService(*found),
                .route = found->name,
@@ -108,8 +113,15 @@
                .priority = found->priority,
                .never_repeat = !found->idempotent,
                .max_attempts = std::max<std::uint32_t>(1, found->max_attempts),
-               .deadline = deadline,
-               .objective = std::min(found->objective, deadline)}};
+               .deadline = TimeLeft(deadline, facts.waited),
+               .objective = TimeLeft(objective, facts.waited)}};
+}
+
+bool IsIdempotent(const snapshot& view, const request_facts& facts) {
+  const route* found =
+      view.config ? view.config->FindRoute(facts.virtual_host, facts.path)
+                  : nullptr;
+  return found != nullptr && found->idempotent;
 }
 
 }  // namespace parsleyyard
--- a/daemon/caller_gate.cc
+++ b/daemon/caller_gate.cc
@@ -113,7 +113,8 @@
   const std::string* host = head.Find("host");
   return {.virtual_host = host ? *host : "",
           .path = PathWithoutQuery(head),
-          .deadline = dialect_.Deadline(head)};
+          .deadline = dialect_.Deadline(head),
+          .waited = head.waited};
 }
 
 http_response caller_gate::BuildRefusal(const call_result& result,
@@ -205,6 +206,10 @@
                       RequestIdFor(rejection.head));
 }
 
+bool caller_gate::MayPipeline(const http_request& head) {
+  return IsIdempotent(*view_.Current(), ExtractFacts(head));
+}
+
 std::optional<http_response> caller_gate::OnHead(const http_request& head) {
   const observed_view observed = Observe();
   if (const auto problem = CheckMessageLimits(head)) {
--- a/daemon/caller_gate.h
+++ b/daemon/caller_gate.h
@@ -51,6 +51,7 @@
   void RefuseNewRequests() { refusing_ = true; }
   std::size_t in_flight() const;
 
+  bool MayPipeline(const http_request& head) override;
   std::optional<http_response> OnHead(const http_request& head) override;
   std::function<void()> OnRequest(http_request request,
                                   response_callback reply) override;
--- a/daemon/component_options.cc
+++ b/daemon/component_options.cc
@@ -68,6 +68,8 @@
           .port = s.listen.callers.port,
           .max_header_fields = kMaxCallerHeaderFields,
           .max_connections = s.calls.max_connections,
+          .max_pipelined_requests = s.calls.max_pipelined,
+          .max_pipelined_bytes = s.calls.max_pipelined_bytes,
           .limits = std::move(limits)};
 }
 
--- a/daemon/settings_generated.cc
+++ b/daemon/settings_generated.cc
@@ -186,6 +186,24 @@
        .target = [](daemon_settings& s) -> setting_target {
          return &s.calls.max_body;
        }},
+      {.section = "calls",
+       .key = "max_pipelined",
+       .kind = setting_kind::kCount,
+       .min = 1,
+       .max = 256,
+       .one_of = {},
+       .target = [](daemon_settings& s) -> setting_target {
+         return &s.calls.max_pipelined;
+       }},
+      {.section = "calls",
+       .key = "max_pipelined_bytes",
+       .kind = setting_kind::kCount,
+       .min = 1024,
+       .max = 67108864,
+       .one_of = {},
+       .target = [](daemon_settings& s) -> setting_target {
+         return &s.calls.max_pipelined_bytes;
+       }},
       {.section = "calls",
        .key = "queue",
        .kind = setting_kind::kCount,
--- a/daemon/settings_generated.h
+++ b/daemon/settings_generated.h
@@ -75,6 +75,12 @@
     std::uint32_t max_connections = 3000;  // limit of connections from callers
     std::uint32_t max_body = 8388608;  // largest request body in bytes, even if
                                        // the configuration allows more
+    std::uint32_t max_pipelined =
+        16;  // requests of one connection that are read before the first of
+             // them is answered
+    std::uint32_t max_pipelined_bytes =
+        1048576;  // bytes of their bodies or responses above which no further
+                  // request of the connection is read
     std::uint32_t queue = 256;  // limit of calls that wait for the instance
     std::chrono::milliseconds drain_notice = std::chrono::milliseconds{
         2300};  // delay between announcing a stop and closing the listener
--- a/net/http_server_internals.h
+++ b/net/http_server_internals.h
@@ -4,16 +4,18 @@
 #define PARSLEYYARD_NET_HTTP_SERVER_INTERNALS_H_
 
 #include "net/net.h"
+#include "net/response_queue.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <chrono>
 #include <mutex>
 #include <unordered_set>
 
@@ -22,6 +24,9 @@
 using request_parser =
     boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+// How far a message is read.
+enum class message_part : std::uint8_t { kHead, kBody };
+
 class http_session;
 
 class http_server_internals
@@ -47,7 +52,8 @@
   http_handler& handler_;
   asio::ip::tcp::acceptor acceptor_;
   std::atomic<std::size_t> connections_{0};
-  // Each connection is closed after its next response.
+  // Each connection is closed after the responses to the requests that were
+  // read.
   std::atomic<bool> stopping_{false};
   // Connections that wait for a request are closed as well.
   std::atomic<bool> closing_idle_{false};
@@ -62,15 +68,18 @@
   std::unordered_set<http_session*> sessions_;
 };
 
-// Serves one connection, one request at a time.
+// Serves one connection. A caller may pipeline requests: those that the handler
+// allows run at the same time, any other one runs alone. A request counts as
+// read when the handler gets it; behind a response that closes the connection,
+// no request was read.
 class http_session : public std::enable_shared_from_this<http_session> {
  public:
   http_session(asio::ip::tcp::socket socket,
                std::shared_ptr<http_server_internals> server)
-      : stream_(std::move(socket)),
+      : socket_(std::move(socket)),
         server_(std::move(server)),
-        wakeup_(stream_.get_executor()),
-        timeout_timer_(stream_.get_executor()) {
+        reader_wakeup_(socket_.get_executor()),
+        write_timeout_(socket_.get_executor()) {
     server_->AddSession(this);
   }
   ~http_session() { server_->RemoveSession(this); }
@@ -79,41 +88,85 @@
 
   asio::awaitable<void> Run();
 
-  // Ends the wait for a request, if the session waits for one. Thread-safe.
+  // Ends the wait for a request, if the session waits for one at a graceful
+  // stop. Thread-safe.
   void CloseIfIdle();
 
  private:
+  using clock = std::chrono::steady_clock;
+  using time_point = clock::time_point;
+
+  // A request that is being read.
+  struct incoming_request {
+    time_point arrived_at{};
+    request_parser parser;
+    http_request request;           // set when the head was read
+    bool runs_alone = false;        // waits for the responses before it
+    bool expects_continue = false;  // the body waits for an interim response
+  };
+
+  // A response that is being written.
+  struct outgoing_response {
+    outgoing_response(
+        boost::beast::http::response<boost::beast::http::string_body> built,
+        bool head_only)
+        : message(std::move(built)), serializer(message) {
+      serializer.split(head_only);
+    }
+    boost::beast::http::response<boost::beast::http::string_body> message;
+    boost::beast::http::response_serializer<boost::beast::http::string_body>
+        serializer;
+  };
+
+  asio::awaitable<void> Receive(time_point deadline);
+  void WatchForInput();
+  void OnCallerClosed();
+  asio::awaitable<boost::beast::error_code> Read(request_parser& parser,
+                                                 message_part until,
+                                                 time_point deadline,
+                                                 std::size_t max_received);
+
+  asio::awaitable<void> ReadRequests();
+  asio::awaitable<bool> ReadRequest();
   asio::awaitable<bool> AwaitRequest();
-  asio::awaitable<bool> ServeRequest();
-  void StartTimeout(duration limit);
-  void CancelTimeout();
-  asio::awaitable<bool> ReadRequestBody(request_parser& parser);
-  asio::awaitable<bool> Reject(http_rejection rejection,
-                               unsigned version,
-                               bool head_only);
-  asio::awaitable<bool> Write(http_response response,
-                              unsigned version,
-                              bool keep_alive,
-                              bool head_only);
+  asio::awaitable<void> AwaitTurn();
+  asio::awaitable<bool> ReadHead(incoming_request& incoming);
+  asio::awaitable<bool> ReadRequestBody(incoming_request& incoming);
+  asio::awaitable<void> WriteContinue(unsigned version);
+  bool IsClosing() const;
+  bool HasRoom() const;
+  bool RefuseHead(const incoming_request& incoming);
+  void RejectUnlessClosed(http_rejection rejection,
+                          const incoming_request& incoming);
+  void Respond(const incoming_request& incoming, http_response response);
+  bool StartRequest(incoming_request& incoming);
+
+  void WriteNext();
+  void OnWritten(const boost::beast::error_code& error);
+  void StartWriteTimeout();
   asio::awaitable<void> DiscardInput();
-  asio::awaitable<std::optional<http_response>> CallHandler(
-      http_request request);
-  void WatchForClose();
 
-  boost::beast::tcp_stream stream_;
+  asio::ip::tcp::socket socket_;
   std::shared_ptr<http_server_internals> server_;
   http_limits limits_;  // limits for the current request
   boost::beast::flat_buffer buffer_;
-  // Cancelled to resume the session: a request begins, the response is there,
-  // or the caller closed the connection.
-  asio::steady_timer wakeup_;
-  asio::steady_timer timeout_timer_;       // see StartTimeout()
-  std::uint64_t timeout_generation_ = 0;   // identifies the current timeout
-  bool timed_out_ = false;                 // the current timeout expired
-  bool readable_ = false;                  // the socket has data to read
-  bool awaiting_request_ = false;          // no byte of a request arrived yet
-  std::optional<http_response> response_;  // from the handler
-  bool caller_closed_ = false;  // closed before the response was there
+  response_queue queue_;
+  std::optional<outgoing_response> outgoing_;  // the first one of the queue
+  // Cancelled to resume the reader: input arrived, a response was written, or a
+  // graceful stop closes idle connections.
+  asio::steady_timer reader_wakeup_;
+  asio::steady_timer write_timeout_;      // see StartWriteTimeout()
+  time_point received_at_{};              // time of the last input
+  time_point idle_since_ = clock::now();  // time of the last response
+  bool readable_ = true;                  // the socket may have input
+  bool watches_input_ = false;            // an operation waits for input
+  bool writing_ = false;                  // a response is being written
+  bool reading_request_ = false;          // the reader is within a request
+  bool reading_ended_ = false;            // no further request is read
+  bool last_runs_alone_ = false;          // the last request runs alone
+  bool closing_ = false;                  // a response asked for the close
+  bool response_closed_ = false;          // a response announced the close
+  bool caller_closed_ = false;  // the caller takes no further responses
 };
 
 }  // namespace parsleyyard
--- a/net/http_session.cc
+++ b/net/http_session.cc
@@ -1,4 +1,5 @@
-// One connection of the HTTP server. Serves its requests one at a time.
+// One connection of the HTTP server. A coroutine reads and starts requests; the
+// responses are written beside it, in the order of the requests.
 
 #include "net/http_server_internals.h"
 #include "net/read_body.h"
@@ -8,16 +9,13 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
-#include <mutex>
-#include <unordered_set>
+#include <limits>
 
 namespace parsleyyard {
 
@@ -27,6 +25,9 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 constexpr auto kNothrowAwaitable = asio::as_tuple(asio::use_awaitable);
+// Most bytes that are received at once.
+constexpr std::size_t kMaxReadBytes = std::size_t{64} * 1024;
+constexpr std::size_t kNoLimit = std::numeric_limits<std::size_t>::max();
 
 // Turns a target in absolute form, which names the host too, into path and
 // query. That host replaces the one of the field.
@@ -59,7 +60,8 @@
   return head;
 }
 
-// A response for a request that was not run. Closes the connection.
+// A response for a request that was not run, after which the connection is
+// closed.
 http_response BuildNotRunResponse(std::uint16_t status, std::string text) {
   return {.status = status,
           .headers = {{.name = "content-type", .value = "text/plain"},
@@ -69,12 +71,11 @@
 }
 
 // Why a request is rejected whose reading ended with `error`.
-http_rejection ClassifyReadError(const beast::error_code& error,
-                                 bool timed_out) {
+http_rejection ClassifyReadError(const beast::error_code& error) {
   http_rejection rejection{.status = 400,
                            .cause = rejection_cause::kMalformed,
                            .detail = error.message()};
-  if (timed_out) {
+  if (error == asio::error::timed_out) {
     rejection.status = 408;
     rejection.cause = rejection_cause::kTooSlow;
   } else if (error == http::error::header_limit) {
@@ -108,265 +109,420 @@
   return "The request is malformed: " + rejection.detail + ".";
 }
 
-bool IsDisconnect(const beast::error_code& error) {
-  return error == http::error::end_of_stream || error == asio::error::eof ||
-         error == asio::error::connection_reset ||
-         error == asio::error::operation_aborted;
+http::response<http::string_body> BuildMessage(pending_response& pending,
+                                               bool keep_alive) {
+  http_response& response = *pending.response;
+  http::response<http::string_body> message(
+      static_cast<http::status>(response.status), pending.version);
+  for (const call_header& header : response.headers) {
+    message.insert(header.name, header.value);
+  }
+  message.keep_alive(keep_alive);
+  message.body() = std::move(response.body);
+  message.prepare_payload();
+  if (pending.head_only) {
+    message.body().clear();
+  }
+  return message;
 }
 
 }  // namespace
 
 asio::awaitable<void> http_session::Run() {
-  while (co_await ServeRequest()) {
-  }
-  beast::error_code ignored;
-  stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  boost::system::error_code ignored;
+  socket_.non_blocking(true, ignored);
+  co_await ReadRequests();
+  co_await AwaitTurn();
+  socket_.cancel(ignored);
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
   co_await DiscardInput();
+  socket_.close(ignored);
 }
 
 void http_session::CloseIfIdle() {
-  asio::post(stream_.get_executor(), [weak = weak_from_this()] {
-    const std::shared_ptr<http_session> self = weak.lock();
-    if (self != nullptr && self->awaiting_request_) {
-      self->wakeup_.cancel();
+  asio::post(socket_.get_executor(), [weak = weak_from_this()] {
+    if (const std::shared_ptr<http_session> self = weak.lock()) {
+      self->reader_wakeup_.cancel();
     }
   });
 }
 
-// Starts a timeout that cancels the pending operations of the socket after
-// `limit`. It replaces an earlier one. The timeout of beast::tcp_stream would
-// close the socket, so that no 408 could be sent.
-void http_session::StartTimeout(duration limit) {
-  timed_out_ = false;
-  timeout_timer_.expires_after(limit);
-  timeout_timer_.async_wait(
-      [self = shared_from_this(),
-       generation = ++timeout_generation_](const beast::error_code& error) {
-        if (!error && generation == self->timeout_generation_) {
-          self->timed_out_ = true;
-          beast::error_code ignored;
-          self->stream_.socket().cancel(ignored);
-        }
-      });
-}
+// ---------------------------------------------------------------------------
+// Input
+// ---------------------------------------------------------------------------
 
-void http_session::CancelTimeout() {
-  ++timeout_generation_;
-  timeout_timer_.cancel();
+// Receives what has arrived. Without input, waits for it until `deadline` or
+// until the reader is woken. Sets `caller_closed_` at the end of the input.
+asio::awaitable<void> http_session::Receive(time_point deadline) {
+  const std::size_t room = beast::read_size(buffer_, kMaxReadBytes);
+  if (readable_ && room > 0) {
+    beast::error_code error;
+    const std::size_t size = socket_.read_some(buffer_.prepare(room), error);
+    buffer_.commit(size);
+    readable_ = size == room;
+    if (size > 0) {
+      received_at_ = clock::now();
+    }
+    if (error && error != asio::error::would_block) {
+      OnCallerClosed();
+    }
+    co_return;
+  }
+  if (room > 0) {
+    WatchForInput();
+  }
+  reader_wakeup_.expires_at(deadline);
+  co_await reader_wakeup_.async_wait(kNothrowAwaitable);
 }
 
-// Waits for the first byte of a request. False if the connection must be closed
-// instead, after the idle timeout or at a graceful stop.
-asio::awaitable<bool> http_session::AwaitRequest() {
-  if (buffer_.size() > 0) {
-    co_return true;
+void http_session::WatchForInput() {
+  if (watches_input_) {
+    return;
   }
-  readable_ = false;
-  awaiting_request_ = true;
-  wakeup_.expires_after(limits_.idle_timeout);
-  stream_.socket().async_wait(
+  watches_input_ = true;
+  socket_.async_wait(
       tcp::socket::wait_read,
       [self = shared_from_this()](const beast::error_code& error) {
-        if (!error && self->awaiting_request_) {
-          self->readable_ = true;
-          self->wakeup_.cancel();
-        }
+        self->watches_input_ = false;
+        self->readable_ = !error;
+        self->reader_wakeup_.cancel();
       });
-  if (!server_->closing_idle_) {
-    co_await wakeup_.async_wait(kNothrowAwaitable);
+}
+
+// The caller takes no further responses. Ends what it has asked for.
+void http_session::OnCallerClosed() {
+  caller_closed_ = true;
+  queue_.AbortUnanswered();
+  reader_wakeup_.cancel();
+}
+
+// Reads up to the end of the head or of the body. Fails with timed_out after
+// `deadline`, and with buffer_overflow after `max_received` bytes or if the
+// buffer is full.
+asio::awaitable<beast::error_code> http_session::Read(
+    request_parser& parser,
+    message_part until,
+    time_point deadline,
+    std::size_t max_received) {
+  std::size_t received = 0;
+  while (!(until == message_part::kHead ? parser.is_header_done()
+                                        : parser.is_done())) {
+    beast::error_code error = http::error::need_more;
+    std::size_t used = 0;
+    if (buffer_.size() > 0) {
+      used = parser.put(buffer_.data(), error);
+    }
+    buffer_.consume(used);
+    received += used;
+    if (received > max_received) {
+      co_return http::error::buffer_overflow;
+    }
+    if (error && error != http::error::need_more) {
+      co_return error;
+    }
+    if (!error && used > 0) {
+      continue;
+    }
+    const std::size_t size_before = buffer_.size();
+    while (buffer_.size() == size_before) {
+      if (caller_closed_) {
+        co_return asio::error::eof;
+      }
+      if (clock::now() >= deadline) {
+        co_return asio::error::timed_out;
+      }
+      if (buffer_.size() >= buffer_.max_size()) {
+        co_return http::error::buffer_overflow;
+      }
+      co_await Receive(deadline);
+    }
   }
-  awaiting_request_ = false;
-  beast::error_code ignored;
-  stream_.socket().cancel(ignored);
-  co_return readable_ || Peek(stream_.socket()) != peek_result::kNoData;
+  co_return beast::error_code();
+}
+
+// ---------------------------------------------------------------------------
+// Requests
+// ---------------------------------------------------------------------------
+
+asio::awaitable<void> http_session::ReadRequests() {
+  bool reads_on = true;
+  while (reads_on) {
+    reads_on = co_await ReadRequest();
+    reading_request_ = false;
+  }
+  reading_ended_ = true;
+  WriteNext();
+}
+
+// True if the connection is to be closed after the requests that were read.
+bool http_session::IsClosing() const {
+  return closing_ || server_->stopping_;
 }
 
-// Serves the next request. False if the connection must be closed.
-asio::awaitable<bool> http_session::ServeRequest() {
+// True if another request may be started while earlier ones are pending.
+bool http_session::HasRoom() const {
   const http_server_options& options = server_->options_;
-  limits_ = options.limits();
-  if (!co_await AwaitRequest()) {
+  return queue_.empty() ||
+         (!last_runs_alone_ && queue_.size() < options.max_pipelined_requests &&
+          queue_.held_bytes() < options.max_pipelined_bytes);
+}
+
+// Waits for the first byte of a request. False if no further request is read:
+// the caller closed the connection, or it must be closed after the last
+// response, after the idle timeout or at a graceful stop.
+asio::awaitable<bool> http_session::AwaitRequest() {
+  while (!caller_closed_) {
+    const bool stopped = !queue_.empty() && IsClosing();
+    if (stopped || response_closed_) {
+      co_return false;
+    }
+    if (buffer_.size() > 0 && HasRoom()) {
+      co_return true;
+    }
     // At a graceful stop the caller may send a request before it notices the
     // close. The 408 states that the request was not run.
-    if (server_->closing_idle_) {
-      co_await Write(BuildNotRunResponse(408, "The server is stopping."), 11,
-                     false, false);
+    if (queue_.empty() && !readable_ && server_->closing_idle_) {
+      Respond(incoming_request{},
+              BuildNotRunResponse(408, "The server is stopping."));
+      co_return false;
+    }
+    const time_point deadline =
+        queue_.empty() ? idle_since_ + limits_.idle_timeout : time_point::max();
+    if (clock::now() >= deadline) {
+      co_return false;
     }
+    co_await Receive(deadline);
+  }
+  co_return false;
+}
+
+// Waits until the responses to all requests that were read are written.
+asio::awaitable<void> http_session::AwaitTurn() {
+  while (!queue_.empty()) {
+    co_await Receive(time_point::max());
+  }
+}
+
+// Reads the next request and starts it. False if no further request is read.
+asio::awaitable<bool> http_session::ReadRequest() {
+  limits_ = server_->options_.limits();
+  const bool begun = co_await AwaitRequest();
+  if (!begun) {
+    co_return false;
+  }
+  reading_request_ = true;
+  incoming_request incoming{.arrived_at = received_at_};
+  const bool head_read = co_await ReadHead(incoming);
+  if (!head_read) {
+    co_return false;
+  }
+  if (incoming.runs_alone || incoming.expects_continue) {
+    co_await AwaitTurn();
+  }
+  if (caller_closed_) {
     co_return false;
   }
+  if (RefuseHead(incoming)) {
+    co_return incoming.parser.is_done() && incoming.parser.get().keep_alive();
+  }
+  const bool body_read = co_await ReadRequestBody(incoming);
+  if (!body_read) {
+    co_return false;
+  }
+  co_return StartRequest(incoming);
+}
+
+// False if there is no valid head. A response is pending then, unless the
+// caller closed the connection.
+asio::awaitable<bool> http_session::ReadHead(incoming_request& incoming) {
+  const http_server_options& options = server_->options_;
   limits_ = options.limits();
   // The buffer may hold pipelined requests that arrived under larger limits.
   buffer_.max_size(
       std::max({kMaxBufferedBytes, limits_.max_header_bytes, buffer_.size()}));
-  request_parser parser;
+  request_parser& parser = incoming.parser;
   parser.header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
   parser.body_limit(limits_.max_body_bytes);
-  StartTimeout(limits_.header_timeout);
-  auto [head_error, head_size] = co_await http::async_read_header(
-      stream_, buffer_, parser, kNothrowAwaitable);
-  const bool no_request =
-      head_error && (!parser.got_some() || IsDisconnect(head_error));
-  if (no_request && !timed_out_) {
+  const beast::error_code error =
+      co_await Read(parser, message_part::kHead,
+                    clock::now() + limits_.header_timeout, kNoLimit);
+  if (error) {
+    RejectUnlessClosed(ClassifyReadError(error), incoming);
     co_return false;
   }
-  if (head_error) {
-    http_rejection rejection = ClassifyReadError(head_error, timed_out_);
-    rejection.head = CopyHead(parser);
-    co_return co_await Reject(std::move(rejection), 11, false);
-  }
-  const unsigned version = parser.get().version();
-  http_request request = CopyHead(parser);
-  const bool head_only = request.method == "HEAD";
-  if (request.headers.size() > options.max_header_fields) {
-    http_rejection too_many{.status = 431,
-                            .cause = rejection_cause::kTooManyFields,
-                            .head = std::move(request)};
-    co_return co_await Reject(std::move(too_many), version, head_only);
-  }
-  std::optional<http_response> rejection = server_->handler_.OnHead(request);
-  if (rejection) {
-    rejection->close = true;
-    co_return co_await Write(std::move(*rejection), version, false, head_only);
-  }
-  if (!co_await ReadRequestBody(parser)) {
+  incoming.request = CopyHead(parser);
+  if (incoming.request.headers.size() > options.max_header_fields) {
+    RejectUnlessClosed(
+        {.status = 431, .cause = rejection_cause::kTooManyFields}, incoming);
     co_return false;
   }
-  // A caller may have closed the connection while this process was paused. Its
-  // request is not run.
-  if (buffer_.size() == 0 && Peek(stream_.socket()) == peek_result::kClosed) {
-    co_return false;
-  }
-  const bool keep_alive = parser.get().keep_alive();
-  request.body = std::move(parser.get().body());
-  CancelTimeout();
-  std::optional<http_response> response =
-      co_await CallHandler(std::move(request));
-  if (!response) {
-    co_return false;
+  incoming.runs_alone = !server_->handler_.MayPipeline(incoming.request);
+  incoming.expects_continue =
+      beast::iequals(parser.get()[http::field::expect], "100-continue");
+  co_return true;
+}
+
+// True if the handler refuses the request by its head. The response is pending
+// then.
+bool http_session::RefuseHead(const incoming_request& incoming) {
+  std::optional<http_response> refusal =
+      server_->handler_.OnHead(incoming.request);
+  if (!refusal) {
+    return false;
   }
-  co_return co_await Write(std::move(*response), version, keep_alive,
-                           head_only);
+  Respond(incoming, std::move(*refusal));
+  return true;
 }
 
-// False if the body did not arrive whole. A response has been sent then, unless
+// False if the body did not arrive whole. A response is pending then, unless
 // the caller closed the connection.
-asio::awaitable<bool> http_session::ReadRequestBody(request_parser& parser) {
+asio::awaitable<bool> http_session::ReadRequestBody(
+    incoming_request& incoming) {
+  request_parser& parser = incoming.parser;
   if (parser.is_done()) {
     co_return true;
   }
-  if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-    http::response<http::empty_body> proceed(http::status::continue_,
-                                             parser.get().version());
-    auto [error, size] =
-        co_await http::async_write(stream_, proceed, kNothrowAwaitable);
-    if (error) {
-      co_return false;
-    }
+  if (incoming.expects_continue) {
+    co_await WriteContinue(parser.get().version());
   }
-  StartTimeout(limits_.idle_timeout);
-  const beast::error_code error = co_await ReadBody(
-      stream_, buffer_, parser, limits_.max_body_bytes, nullptr);
-  if (error && (timed_out_ || !IsDisconnect(error))) {
-    http_rejection rejection = ClassifyReadError(error, timed_out_);
-    rejection.head = CopyHead(parser);
-    co_await Reject(std::move(rejection), parser.get().version(), false);
+  parser.eager(true);
+  ReserveBodyBuffer(buffer_, parser.content_length());
+  const beast::error_code error = co_await Read(
+      parser, message_part::kBody, clock::now() + limits_.idle_timeout,
+      MaxReceived(limits_.max_body_bytes));
+  if (error) {
+    RejectUnlessClosed(ClassifyReadError(error), incoming);
   }
+  ReleaseBodyBuffer(buffer_);
   co_return !error;
 }
 
-// Ends a request without the handler's decision. Always false: the connection
-// is closed.
-asio::awaitable<bool> http_session::Reject(http_rejection rejection,
-                                           unsigned version,
-                                           bool head_only) {
+// Tells the caller to send the body.
+asio::awaitable<void> http_session::WriteContinue(unsigned version) {
+  http::response<http::empty_body> proceed(http::status::continue_, version);
+  StartWriteTimeout();
+  auto [error, size] =
+      co_await http::async_write(socket_, proceed, kNothrowAwaitable);
+  write_timeout_.cancel();
+  if (error) {
+    OnCallerClosed();
+  }
+}
+
+// Ends a request without the handler's decision, unless the caller closed the
+// connection. No further request is read.
+void http_session::RejectUnlessClosed(http_rejection rejection,
+                                      const incoming_request& incoming) {
+  if (caller_closed_ && rejection.cause == rejection_cause::kMalformed) {
+    return;
+  }
+  rejection.head = CopyHead(incoming.parser);
   rejection.limits = limits_;
   std::optional<http_response> response =
       server_->handler_.OnRejected(rejection);
   if (!response) {
     response = BuildNotRunResponse(rejection.status, RejectionText(rejection));
   }
-  response->close = true;
-  co_return co_await Write(std::move(*response), version, false, head_only);
+  Respond(incoming, std::move(*response));
 }
 
-// Passes a request to the handler and waits for the response. Empty if the
-// caller closes the connection first.
-asio::awaitable<std::optional<http_response>> http_session::CallHandler(
-    http_request request) {
-  response_.reset();
-  wakeup_.expires_at(asio::steady_timer::time_point::max());
-  auto self = shared_from_this();
-  response_callback reply = [self](http_response response) {
-    asio::post(self->stream_.get_executor(),
-               [self, response = std::move(response)]() mutable {
-                 self->response_ = std::move(response);
-                 self->wakeup_.cancel();
+// Adds a response that waits for its turn.
+void http_session::Respond(const incoming_request& incoming,
+                           http_response response) {
+  const auto& head = incoming.parser.get();
+  queue_.Add({.version = head.version(),
+              .head_only = head.method() == http::verb::head,
+              .response = std::move(response)});
+  WriteNext();
+}
+
+// Passes a request to the handler. Its response is written in its turn. False
+// if no further request is read.
+bool http_session::StartRequest(incoming_request& incoming) {
+  // A caller may have closed the connection while this process was paused. Its
+  // request is not run.
+  if (Peek(socket_) == peek_result::kClosed) {
+    OnCallerClosed();
+    return false;
+  }
+  auto& message = incoming.parser.get();
+  http_request& request = incoming.request;
+  request.body = std::move(message.body());
+  request.waited =
+      std::chrono::duration_cast<duration>(clock::now() - incoming.arrived_at);
+  last_runs_alone_ = incoming.runs_alone;
+  const std::uint64_t number =
+      queue_.Add({.version = message.version(),
+                  .head_only = message.method() == http::verb::head,
+                  .held_bytes = request.body.size()});
+  const auto self = shared_from_this();
+  response_callback reply = [self, number](http_response response) {
+    asio::post(self->socket_.get_executor(),
+               [self, number, response = std::move(response)]() mutable {
+                 self->queue_.SetResponse(number, std::move(response));
+                 self->WriteNext();
                });
   };
-  const std::function<void()> abort_request =
-      server_->handler_.OnRequest(std::move(request), std::move(reply));
-  WatchForClose();
-  while (!response_ && !caller_closed_) {
-    co_await wakeup_.async_wait(kNothrowAwaitable);
-  }
-  if (!response_ && abort_request) {
-    abort_request();
-  }
-  beast::error_code ignored;
-  stream_.socket().cancel(ignored);
-  co_return std::move(response_);
+  queue_.SetAbort(number, server_->handler_.OnRequest(std::move(request),
+                                                      std::move(reply)));
+  return message.keep_alive();
 }
 
-// Detects that the caller closes the connection before the response is there.
-void http_session::WatchForClose() {
-  if (buffer_.size() > 0) {
+// ---------------------------------------------------------------------------
+// Responses
+// ---------------------------------------------------------------------------
+
+// Writes the next response if it is there and none is being written.
+void http_session::WriteNext() {
+  pending_response* next = queue_.Front();
+  if (writing_ || next == nullptr) {
     return;
   }
-  stream_.socket().async_wait(
-      tcp::socket::wait_read,
-      [self = shared_from_this()](const beast::error_code& error) {
-        if (error || self->response_) {
-          return;
-        }
-        const peek_result peeked = Peek(self->stream_.socket());
-        if (peeked == peek_result::kNoData) {
-          self->WatchForClose();
-        } else if (peeked == peek_result::kClosed) {
-          self->caller_closed_ = true;
-          self->wakeup_.cancel();
-        }
-      });
+  writing_ = true;
+  closing_ |= next->response->close;
+  // The request that is being read gets a response too.
+  const bool last = queue_.size() == 1 && !reading_request_;
+  const bool keep_alive = !last || !(reading_ended_ || IsClosing());
+  closing_ |= !keep_alive;
+  response_closed_ |= !keep_alive;
+  StartWriteTimeout();
+  outgoing_.emplace(BuildMessage(*next, keep_alive), next->head_only);
+  const auto self = shared_from_this();
+  const auto on_written = [self](const beast::error_code& error, std::size_t) {
+    self->OnWritten(error);
+  };
+  if (next->head_only) {
+    http::async_write_header(socket_, outgoing_->serializer, on_written);
+  } else {
+    http::async_write(socket_, outgoing_->serializer, on_written);
+  }
 }
 
-// Writes a response, without its body if `head_only`. True if the connection
-// may carry another request.
-asio::awaitable<bool> http_session::Write(http_response response,
-                                          unsigned version,
-                                          bool keep_alive,
-                                          bool head_only) {
-  http::response<http::string_body> message(
-      static_cast<http::status>(response.status), version);
-  for (const call_header& header : response.headers) {
-    message.insert(header.name, header.value);
+void http_session::OnWritten(const beast::error_code& error) {
+  writing_ = false;
+  write_timeout_.cancel();
+  outgoing_.reset();
+  queue_.PopFront();
+  idle_since_ = clock::now();
+  if (error) {
+    OnCallerClosed();
+    queue_.Clear();
   }
-  const bool keep = keep_alive && !response.close && !server_->stopping_;
-  message.keep_alive(keep);
-  message.body() = std::move(response.body);
-  message.prepare_payload();
-  if (head_only) {
-    message.body().clear();
-  }
-  http::response_serializer<http::string_body> serializer(message);
-  serializer.split(head_only);
-  StartTimeout(limits_.idle_timeout);
-  if (head_only) {
-    auto [error, size] = co_await http::async_write_header(stream_, serializer,
-                                                           kNothrowAwaitable);
-    co_return !error && keep;
-  }
-  auto [error, size] =
-      co_await http::async_write(stream_, serializer, kNothrowAwaitable);
-  co_return !error && keep;
+  WriteNext();
+  reader_wakeup_.cancel();
+}
+
+// Cancels the pending operations of the socket if a response is not written in
+// time.
+void http_session::StartWriteTimeout() {
+  write_timeout_.expires_after(limits_.idle_timeout);
+  write_timeout_.async_wait(
+      [self = shared_from_this()](const beast::error_code& error) {
+        if (!error) {
+          beast::error_code ignored;
+          self->socket_.cancel(ignored);
+        }
+      });
 }
 
 // Reads and discards what the caller still sends. Closing a socket with unread
@@ -374,18 +530,14 @@
 asio::awaitable<void> http_session::DiscardInput() {
   constexpr std::size_t kMaxDiscardedBytes = std::size_t{256} * 1024;
   constexpr auto kDiscardTimeout = std::chrono::seconds(1);
-  StartTimeout(kDiscardTimeout);
+  const time_point deadline = clock::now() + kDiscardTimeout;
   std::size_t discarded = 0;
-  while (discarded < kMaxDiscardedBytes) {
+  while (!caller_closed_ && discarded < kMaxDiscardedBytes &&
+         clock::now() < deadline) {
     buffer_.clear();
-    auto [error, size] = co_await stream_.async_read_some(
-        buffer_.prepare(16384), kNothrowAwaitable);
-    if (error) {
-      break;
-    }
-    discarded += size;
+    co_await Receive(deadline);
+    discarded += buffer_.size();
   }
-  CancelTimeout();
 }
 
 }  // namespace parsleyyard
--- a/net/net.h
+++ b/net/net.h
@@ -166,6 +166,7 @@
   std::string target;                // path and query
   std::vector<call_header> headers;  // in order, names as sent
   std::string body;
+  duration waited{};  // at a server: time since the request arrived
   // Value of the first field of that name, case-insensitive; null if absent.
   const std::string* Find(std::string_view name) const;
 };
@@ -174,7 +175,9 @@
   std::uint16_t status = 200;
   std::vector<call_header> headers;
   std::string body;
-  bool close = false;  // close the connection after this response
+  // Read no further request and close the connection after the responses to
+  // those that were read.
+  bool close = false;
 };
 
 // Sends the response to one request. Must be called once; thread-safe.
@@ -220,8 +223,12 @@
 class http_handler {
  public:
   virtual ~http_handler() = default;
+  // Returns true if a pipelined request may run before the responses to earlier
+  // requests of its connection are written. It must be idempotent: if the
+  // connection is lost, the caller sends it again. Other requests run alone.
+  virtual bool MayPipeline(const http_request& /*head*/) { return false; }
   // Checks the request head before the body is read. A returned response ends
-  // the request and closes the connection; the body is not read.
+  // the request; a body is not read, and the connection is closed.
   virtual std::optional<http_response> OnHead(const http_request& head) = 0;
   // Handles a whole request. The handler must call `reply` once, from any
   // thread. Returns a function that the server calls if the caller closes the
@@ -242,6 +249,11 @@
   std::uint16_t port = 0;
   std::size_t max_header_fields = 100;  // per request; status 431 above
   std::size_t max_connections = 11000;  // status 503 above
+  // Pipelined requests of one connection that run or wait for their turn to be
+  // answered, and bytes of their bodies or responses. Above either limit,
+  // nothing more is read from the connection.
+  std::size_t max_pipelined_requests = 16;
+  std::size_t max_pipelined_bytes = std::size_t{1} << 20;
   // Called for each request, so that new limits take effect with the next one.
   std::function<http_limits()> limits = [] { return http_limits(); };
 };
@@ -259,7 +271,8 @@
   leaf::result<void> Listen();
   // A graceful stop takes three calls. StopAccepting() drops new connections,
   // accepts those whose handshake has begun, and closes the listener a moment
-  // later. Each connection is closed after its next response.
+  // later. Each connection is closed after the responses to the requests that
+  // were read.
   // CloseIdle() closes the connections that wait for a request. It sends a 408
   // on each of them first, which serves as the response if the caller sent a
   // request before it noticed the close. Both return at once. IsClosed() is
--- a/net/read_body.h
+++ b/net/read_body.h
@@ -23,6 +23,12 @@
 // chunk header or a trailer of any size.
 inline constexpr std::size_t kMaxBufferedBytes = std::size_t{128} * 1024;
 
+// Limit on the bytes that are received for one body, with the framing of a
+// chunked one. `max_body_bytes` is the size of the largest body.
+inline constexpr std::size_t MaxReceived(std::size_t max_body_bytes) {
+  return 2 * max_body_bytes + kMaxBufferedBytes;
+}
+
 // Makes room for a body. Without it Beast reads 512 bytes at a time into a
 // buffer that has just grown for a head, which is 128 system calls for a body
 // of 64 KB. `length` is the content length, if stated.
@@ -69,7 +75,7 @@
   namespace http = boost::beast::http;
   namespace asio = boost::asio;
   ReserveBodyBuffer(buffer, parser.content_length());
-  const std::size_t max_received = 2 * max_body_bytes + kMaxBufferedBytes;
+  const std::size_t max_received = MaxReceived(max_body_bytes);
   boost::beast::error_code result;
   std::size_t received = 0;
   while (!result && !parser.is_done()) {
