Start and restart a large fleet without sending the view between all pairs

Change: an unlisted daemon reads for itself only. In a large region a restarted daemon is brought up to date by its four successors in the address order; the first two daemons of a region help those of another one, which pass the view on. A starting daemon asks the first two of its region for the full view. Links are kept to the own domain, the predecessors and the readers; others are opened when needed. Weighed: a flag in the hello that tells whether the peer has a view (another format), pull only (a daemon without a view knows no peers while the store is down).

--- a/control/control.h
+++ b/control/control.h
@@ -125,6 +125,7 @@
 struct relay_peer {
   host_address address;
   std::string region;
+  std::string failure_domain;
   bool reachable = true;  // false: the link to it is known to be down
 };
 
@@ -160,6 +161,30 @@
                                         const std::vector<relay_peer>& peers,
                                         unsigned fan_out);
 
+// Number of daemons at the start of a region's address order that read the
+// whole store for a large region and send the full view to it.
+inline constexpr std::size_t kRegionReaders = 2;
+
+// The first `count` peers of the region in the address order.
+std::vector<host_address> FirstOfRegion(const std::string& region,
+                                        const std::vector<relay_peer>& peers,
+                                        std::size_t count);
+
+// The peers of the region that a daemon brings up to date if they restart while
+// the store is unavailable: the few before it in the address order, which goes
+// round.
+std::vector<host_address> PredecessorsOf(const host_address& self,
+                                         const std::string& region,
+                                         const std::vector<relay_peer>& peers);
+
+// The peers that a daemon keeps links to. In a small fleet these are all. In a
+// large one, links between all pairs would cost more than the calls that they
+// speed up: a daemon keeps those to its failure domain, where most calls go, to
+// its predecessors and to the readers of its region; the readers of all regions
+// keep links to each other. Other links are opened when they are needed.
+std::vector<host_address> PlanLinks(const relay_peer& self,
+                                    const std::vector<relay_peer>& peers);
+
 // ---------------------------------------------------------------------------
 // 4. View keeper
 // ---------------------------------------------------------------------------
@@ -234,8 +259,8 @@
   // the peer gets them for some time.
   void OnUpdate(view_update message);
   // Handles the start of a peer. Sends it the full view if this daemon's view
-  // is at least `stale_after` old, as in a store outage, or if the peer waits
-  // for this daemon to read the store.
+  // is at least `stale_after` old, as in a store outage, or has what the store
+  // lacks, and if it is one of the daemons that bring the peer up to date.
   void OnPeerStarted(const host_address& peer);
 
   view_status Status() const;
@@ -269,12 +294,13 @@
   duration TakeoverAge(instant now) const;
   std::size_t Rank() const;
   bool IsListed() const;
-  bool IsInOwnRegion(const host_address& host) const;
+  bool BringsUpToDate(const host_address& peer) const;
   std::size_t RankInRegion(const host_address& except) const;
   std::size_t CountPeersInRegion() const;
   bool WaitsForStartupReaders() const;
   bool ReadsForRegionAtStart() const;
-  void SendFullUpdateToRegion();
+  void SendFullUpdateToRegion() const;
+  void ShareFirstView() const;
   void MissUpdate();
   void RequestUpdates() const;
   void RequestUpdatesIfUnlisted(instant now);
--- a/control/relay_plan.cc
+++ b/control/relay_plan.cc
@@ -67,6 +67,11 @@
   return steps;
 }
 
+// Predecessors of a daemon. More than one, since several may be down at once.
+constexpr std::size_t kPredecessors = 4;
+// Peers up to which a daemon keeps links to all of them.
+constexpr std::size_t kMaxLinkedFleet = 32;
+
 }  // namespace
 
 std::uint64_t AddressOrder(const host_address& address) {
@@ -105,4 +110,66 @@
                         fan_out);
 }
 
+std::vector<host_address> FirstOfRegion(const std::string& region,
+                                        const std::vector<relay_peer>& peers,
+                                        std::size_t count) {
+  std::vector<host_address> first;
+  for (const auto& [order, peer] :
+       PeersInRange(peers, region, kWholeRegion, {})) {
+    if (first.size() < count) {
+      first.push_back(peer->address);
+    }
+  }
+  return first;
+}
+
+std::vector<host_address> PredecessorsOf(const host_address& self,
+                                         const std::string& region,
+                                         const std::vector<relay_peer>& peers) {
+  const std::uint64_t own = AddressOrder(self);
+  std::map<std::uint64_t, host_address> by_distance;
+  for (const relay_peer& peer : peers) {
+    if (peer.region == region && peer.address != self) {
+      // Wraps around at the start of the order.
+      by_distance[own - AddressOrder(peer.address)] = peer.address;
+    }
+  }
+  std::vector<host_address> nearest;
+  for (const auto& [distance, address] : by_distance) {
+    if (nearest.size() < kPredecessors) {
+      nearest.push_back(address);
+    }
+  }
+  return nearest;
+}
+
+std::vector<host_address> PlanLinks(const relay_peer& self,
+                                    const std::vector<relay_peer>& peers) {
+  std::set<host_address> linked;
+  std::set<std::string> regions{self.region};
+  for (const relay_peer& peer : peers) {
+    regions.insert(peer.region);
+    const bool near = peer.failure_domain == self.failure_domain;
+    if (near || peers.size() <= kMaxLinkedFleet) {
+      linked.insert(peer.address);
+    }
+  }
+  const std::vector<host_address> predecessors =
+      PredecessorsOf(self.address, self.region, peers);
+  linked.insert(predecessors.begin(), predecessors.end());
+  std::vector<relay_peer> fleet = peers;
+  fleet.push_back(self);
+  const auto own_readers = FirstOfRegion(self.region, fleet, kRegionReaders);
+  const bool reads = std::find(own_readers.begin(), own_readers.end(),
+                               self.address) != own_readers.end();
+  for (const std::string& region : regions) {
+    if (reads || region == self.region) {
+      const auto readers = FirstOfRegion(region, fleet, kRegionReaders);
+      linked.insert(readers.begin(), readers.end());
+    }
+  }
+  linked.erase(self.address);
+  return {linked.begin(), linked.end()};
+}
+
 }  // namespace parsleyyard
--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -92,10 +92,11 @@
     if (known.registration.host == options_.address) {
       continue;
     }
+    const std::string& domain = known.registration.failure_domain;
     peers[known.registration.host] = {
         .address = known.registration.host,
-        .region = std::string(
-            RegionOf(options_.regions, known.registration.failure_domain)),
+        .region = std::string(RegionOf(options_.regions, domain)),
+        .failure_domain = domain,
         .reachable = transport_.IsReachable(known.registration.host)};
   }
   std::vector<relay_peer> list;
@@ -117,16 +118,6 @@
   return before.size();
 }
 
-bool view_keeper::IsInOwnRegion(const host_address& host) const {
-  return std::any_of(
-      view_->instances.begin(), view_->instances.end(), [&](const auto& item) {
-        const instance& registration = item.second.registration;
-        return registration.host == host &&
-               RegionOf(options_.regions, registration.failure_domain) ==
-                   options_.region;
-      });
-}
-
 std::size_t view_keeper::CountPeersInRegion() const {
   const std::vector<relay_peer> peers = Peers();
   return static_cast<std::size_t>(std::count_if(
@@ -160,7 +151,8 @@
 // failed read; the others read only if no updates arrive.
 duration view_keeper::TakeoverAge(instant now) const {
   const std::size_t rank = Rank();
-  const bool is_first_choice = rank == 0 && now >= back_off_until_;
+  const bool is_first_choice =
+      rank == 0 && IsListed() && now >= back_off_until_;
   if (is_first_choice) {
     return duration::zero();
   }
@@ -214,8 +206,13 @@
   }
   if (!active_reader_ && HasView() && !needs_catch_up_ &&
       TimeSinceNews(now) >= TakeoverAge(now)) {
-    active_reader_ = true;
-    Report("became active reader", options_.address);
+    // An unlisted daemon reads for itself: when a fleet starts, none is listed
+    // yet, and each would read for all.
+    active_reader_ = IsListed();
+    needs_catch_up_ = !active_reader_;
+    if (active_reader_) {
+      Report("became active reader", options_.address);
+    }
     return StartRead(now);
   }
   if (active_reader_ || needs_catch_up_ || !HasView()) {
--- a/control/view_updates.cc
+++ b/control/view_updates.cc
@@ -19,7 +19,6 @@
 // fleet has hundreds of kilobytes, and the link between two regions can carry
 // it only a few times per second.
 constexpr std::size_t kSmallRegionPeers = 8;
-constexpr std::size_t kStartupReaders = 2;
 // In such a region, wait of the other daemons for the full view after a missed
 // update, and what each place in the address order adds to it.
 constexpr duration kSharedReadDelay = std::chrono::milliseconds(700);
@@ -53,7 +52,7 @@
 // send it to this one.
 bool view_keeper::WaitsForStartupReaders() const {
   return CountPeersInRegion() > kSmallRegionPeers && IsListed() &&
-         RankInRegion("") >= kStartupReaders;
+         RankInRegion("") >= kRegionReaders;
 }
 
 // True if this daemon is the first of a large region.
@@ -189,7 +188,7 @@
   const std::size_t rank = RankInRegion("");
   const bool reads_for_region =
       CountPeersInRegion() > kSmallRegionPeers && IsListed();
-  shares_next_read_ = reads_for_region && rank < kStartupReaders;
+  shares_next_read_ = reads_for_region && rank < kRegionReaders;
   if (reads_for_region && rank > 0) {
     next_read_ =
         std::max(next_read_, clock_.Now() + kSharedReadDelay +
@@ -260,12 +259,16 @@
   const bool may_have_waited =
       pause_guard_.AwaitsConfirmation(own_read_confirmed_at_, now);
   // Without a view nothing was confirmed before.
-  const instant known_at = HasView() ? confirmed_at_ : instant::min() / 2;
+  const bool is_first_view = !HasView();
+  const instant known_at = is_first_view ? instant::min() / 2 : confirmed_at_;
   ConfirmPosition(offered, may_have_waited ? known_at : confirmed,
                   may_have_waited ? news_at_ : news_at);
   if (changed) {
     PublishSnapshot();
   }
+  if (is_first_view) {
+    ShareFirstView();
+  }
 }
 
 // A daemon that has read the store since may still lack what its peers hold.
@@ -304,7 +307,7 @@
 
 // Sends the full view to all daemons of a large region, which wait for it when
 // the whole fleet starts or when all have missed an update.
-void view_keeper::SendFullUpdateToRegion() {
+void view_keeper::SendFullUpdateToRegion() const {
   const relay_range all{.first = 0,
                         .last = std::numeric_limits<std::uint64_t>::max()};
   Relay(BuildFullUpdate(),
@@ -318,13 +321,13 @@
   Send(peer, request);
 }
 
-// A daemon whose view is of an earlier era gets the full view besides: it asks
-// only if it can't read the store.
+// A daemon without a view gets the full one besides, and so does one whose view
+// is of an earlier era: it asks only if it can't read the store.
 void view_keeper::AnswerRequest(const view_update& request) {
   subscribers_[request.root] = clock_.Now();
   const bool is_behind =
-      request.from_revision != 0 && HasView() && request.era < position_.era;
-  if (is_behind) {
+      request.from_revision == 0 || request.era < position_.era;
+  if (HasView() && is_behind) {
     Send(request.root, BuildFullUpdate());
   }
 }
@@ -342,20 +345,12 @@
   }
 }
 
-// Requests updates from the first two daemons of the region. To a daemon that
-// has just started they also send the full view.
+// Requests updates from the readers of the region. To a daemon that has just
+// started they also send the full view.
 void view_keeper::RequestUpdates() const {
-  std::map<std::uint64_t, host_address> peers_by_order;
-  for (const relay_peer& peer : Peers()) {
-    if (peer.region == options_.region) {
-      peers_by_order[AddressOrder(peer.address)] = peer.address;
-    }
-  }
-  std::size_t requested = 0;
-  for (const auto& [order, address] : peers_by_order) {
-    if (++requested <= kStartupReaders) {
-      SendRequest(address);
-    }
+  for (const host_address& reader :
+       FirstOfRegion(options_.region, Peers(), kRegionReaders)) {
+    SendRequest(reader);
   }
 }
 
@@ -382,19 +377,47 @@
   }
 }
 
+// True if this daemon is one of the few that send the full view to a peer that
+// has started. Between two large regions only their readers send it.
+bool view_keeper::BringsUpToDate(const host_address& peer) const {
+  const std::vector<relay_peer> peers = Peers();
+  const auto found = std::find_if(
+      peers.begin(), peers.end(),
+      [&](const relay_peer& each) { return each.address == peer; });
+  const bool is_large = CountPeersInRegion() > kSmallRegionPeers;
+  if (found == peers.end() || !is_large) {
+    return true;
+  }
+  if (found->region != options_.region) {
+    const auto readers = FirstOfRegion(found->region, peers, kRegionReaders);
+    return RankInRegion("") < kRegionReaders &&
+           std::find(readers.begin(), readers.end(), peer) != readers.end();
+  }
+  const auto predecessors =
+      PredecessorsOf(options_.address, options_.region, peers);
+  return std::find(predecessors.begin(), predecessors.end(), peer) !=
+         predecessors.end();
+}
+
 void view_keeper::OnPeerStarted(const host_address& peer) {
   if (!HasView()) {
     return;
   }
   const bool store_unavailable =
       TimeSinceNews(clock_.Now()) >= options_.stale_after;
-  const bool is_startup_reader =
-      IsInOwnRegion(peer) && RankInRegion(peer) < kStartupReaders;
-  const bool needs_this_daemon =
-      CountPeersInRegion() > kSmallRegionPeers || HoldsItems();
-  if (store_unavailable || (is_startup_reader && needs_this_daemon)) {
+  if ((store_unavailable || HoldsItems()) && BringsUpToDate(peer)) {
     Send(peer, BuildFullUpdate());
   }
 }
 
+// A region that restarts while the store is unavailable gets the view from
+// another region through its readers.
+void view_keeper::ShareFirstView() const {
+  if (TimeSinceNews(clock_.Now()) >= options_.stale_after &&
+      CountPeersInRegion() > kSmallRegionPeers &&
+      RankInRegion("") < kRegionReaders) {
+    SendFullUpdateToRegion();
+  }
+}
+
 }  // namespace parsleyyard
--- a/daemon/peer_wiring.cc
+++ b/daemon/peer_wiring.cc
@@ -4,17 +4,11 @@
 #include "daemon/component_options.h"
 #include "daemon/daemon_internals.h"
 
-#include <set>
+#include <map>
+#include <vector>
 
 namespace parsleyyard {
 
-namespace {
-
-// Limit on the streams to peers that are opened before a call needs them.
-constexpr std::size_t kMaxPreopenedLinks = 256;
-
-}  // namespace
-
 // Returns the address to connect to for a peer. It differs from the peer's own
 // address if the peer is in another region and other_region_prefix is set.
 host_address daemon_internals::ResolveConnectAddress(
@@ -36,17 +30,29 @@
   return peer;
 }
 
-// Opens streams to peers before a call needs them, so that no call waits for a
-// connection. The hello of each new stream also reveals whether the peer has
-// restarted.
+// Opens the streams that this daemon keeps, so that the calls that use them do
+// not wait for a connection. The hello of each new stream also reveals whether
+// the peer has restarted.
 void daemon_internals::OpenMissingLinks() {
-  std::set<host_address> hosts;
+  const region_map regions = ParseRegions(settings_);
+  std::map<host_address, relay_peer> peers;
   for (const auto& [id, known] : view_.Current()->instances) {
-    if (hosts.size() < kMaxPreopenedLinks && !IsSelf(known.registration.host)) {
-      hosts.insert(known.registration.host);
+    const instance& registration = known.registration;
+    if (!IsSelf(registration.host)) {
+      peers[registration.host] = {
+          .address = registration.host,
+          .region = std::string(RegionOf(regions, registration.failure_domain)),
+          .failure_domain = registration.failure_domain};
     }
   }
-  for (const host_address& host : hosts) {
+  std::vector<relay_peer> list;
+  for (auto& [address, peer] : peers) {
+    list.push_back(std::move(peer));
+  }
+  const relay_peer self{.address = settings_.host.address,
+                        .region = settings_.host.region,
+                        .failure_domain = settings_.host.failure_domain};
+  for (const host_address& host : PlanLinks(self, list)) {
     if (!mesh_.PeerIncarnation(host)) {
       mesh_.Open(host);
     }
--- a/tests/view_world.cc
+++ b/tests/view_world.cc
@@ -11,6 +11,7 @@
 constexpr duration kTickInterval = std::chrono::milliseconds(20);
 constexpr duration kStoreDelay = std::chrono::milliseconds(4);
 constexpr duration kPeerDelay = std::chrono::milliseconds(12);
+constexpr duration kLinkCheckInterval = std::chrono::milliseconds(100);
 constexpr duration kReadTimeout = std::chrono::milliseconds(900);
 // kMaxChangeDelay follows the bounds drain-ms and config-apply-ms of the
 // platform, kMinStoreContact follows contact-ms.
@@ -225,6 +226,9 @@
 
   void SendUpdate(const host_address& to, const view_update& message) override {
     const int target = world.IndexOf(to);
+    world.full_updates_ +=
+        message.to_revision != 0 && message.from_revision == 0;
+    world.items_sent_ += message.items.size();
     if (peers_partitioned || world.nodes_[target]->peers_partitioned) {
       return;
     }
@@ -258,11 +262,13 @@
   std::unique_ptr<view_keeper> keeper;
 };
 
-view_world::view_world(int daemons) {
+view_world::view_world(int daemons, start instances) {
   PublishConfiguration();
   for (int i = 0; i < daemons; ++i) {
     nodes_.push_back(std::make_unique<node>(*this, i));
-    RegisterInstance(i, "ready");
+    if (instances == start::kRegistered) {
+      RegisterInstance(i, "ready");
+    }
   }
   for (int i = 0; i < daemons; ++i) {
     Start(i);
@@ -349,10 +355,49 @@
         each->keeper->Tick();
       }
     }
+    if (clock_.now >= links_checked_at_ + kLinkCheckInterval) {
+      links_checked_at_ = clock_.now;
+      OpenLinks();
+    }
     CheckInvariants();
   }
 }
 
+// Each daemon learns from the link to a peer that the peer has started.
+void view_world::OpenLinks() {
+  for (const auto& each : nodes_) {
+    if (!each->alive || each->suspended || each->peers_partitioned) {
+      continue;
+    }
+    const auto& instances = each->keeper->Current()->instances;
+    std::vector<relay_peer> peers;
+    for (const auto& [id, known] : instances) {
+      const int peer = IndexOf(known.registration.host);
+      if (peer != each->index) {
+        peers.push_back({.address = known.registration.host,
+                         .region = RegionOfDomain(peer % kDomains),
+                         .failure_domain = DomainOf(peer)});
+      }
+    }
+    const relay_peer self{.address = HostOf(each->index),
+                          .region = RegionOfDomain(each->index % kDomains),
+                          .failure_domain = DomainOf(each->index)};
+    for (const host_address& linked : PlanLinks(self, peers)) {
+      const node& peer = *nodes_[IndexOf(linked)];
+      if (peer.alive && !peer.suspended && !peer.peers_partitioned) {
+        each->NotePeerIncarnation(peer.index, peer.incarnation);
+      }
+    }
+  }
+}
+
+int view_world::ActiveReaders() const {
+  return static_cast<int>(
+      std::count_if(nodes_.begin(), nodes_.end(), [](const auto& each) {
+        return each->alive && each->keeper->Status().active_reader;
+      }));
+}
+
 void view_world::NoteFault(int daemon) {
   nodes_[daemon]->last_fault_at = clock_.now;
 }
--- a/tests/view_world.h
+++ b/tests/view_world.h
@@ -88,7 +88,9 @@
 
 class view_world {
  public:
-  explicit view_world(int daemons);
+  // Whether the instances of the daemons are registered at the start.
+  enum class start : std::uint8_t { kRegistered, kUnregistered };
+  explicit view_world(int daemons, start instances = start::kRegistered);
   ~view_world();
 
   void Run(duration length);
@@ -118,6 +120,10 @@
   view_status Status(int daemon) const;
   std::uint64_t reads() const { return reads_; }
   std::uint64_t FullReads() const { return full_reads_; }
+  // Updates that the daemons have sent to each other, and the items in them.
+  std::uint64_t FullUpdates() const { return full_updates_; }
+  std::uint64_t ItemsSent() const { return items_sent_; }
+  int ActiveReaders() const;
   // Descriptions of the violated invariants; empty if all hold.
   const std::vector<std::string>& Violations() const { return violations_; }
 
@@ -134,6 +140,7 @@
   bool ReachesStore(int daemon) const;
   void CheckInvariants();
   void NoteFault(int daemon);
+  void OpenLinks();
   int IndexOf(const host_address& host) const;
 
   manual_clock clock_;
@@ -143,10 +150,13 @@
   std::vector<std::unique_ptr<node>> nodes_;
   bool store_down_ = false;
   instant last_store_fault_at_{};
+  instant links_checked_at_{};
   std::uint64_t version_ = 0;
   int last_sequence_ = 0;  // of the registrations
   std::uint64_t reads_ = 0;
   std::uint64_t full_reads_ = 0;  // of `reads_`
+  std::uint64_t full_updates_ = 0;
+  std::uint64_t items_sent_ = 0;
   std::vector<std::string> violations_;
 };
 
