Send no calls to full hosts, and leave the region only for the deadline

Change: a host that refuses a call as overloaded gets no other one of that route for one service time (20 to 100 ms); if all are full the call is refused at once, with its Retry-After. A call leaves the region only if no instance in it is expected to answer within half of the time left, not already for its objective: the link between the regions is shared by all traffic.

--- a/calls/call_sender.cc
+++ b/calls/call_sender.cc
@@ -148,10 +148,15 @@
   if (now + kMinAttemptTime >= call.deadline) {
     return Refuse(call, refusal_reason::kDeadlinePassed);
   }
+  const auto view = view_.Current();
   const auto chosen = placement_.Choose(
-      *view_.Current(), call.plan, call.objective - now, call.tried_hosts, now);
+      *view, call.plan,
+      {.objective = call.objective - now, .deadline = call.deadline - now},
+      call.tried_hosts, now);
   if (!chosen) {
-    return Refuse(call, last_refusal);
+    const bool all_full = last_refusal == refusal_reason::kNoUpstream &&
+                          placement_.HasEligible(*view, call.plan);
+    return Refuse(call, all_full ? refusal_reason::kOverloaded : last_refusal);
   }
   calls_.SetTarget(call, chosen->host);
   call.instance = chosen->instance;
@@ -218,6 +223,9 @@
   } else if (reason != refusal_reason::kOverloaded) {
     placement_.Avoid(call.target_host, now + kFailureAvoidTime);
   }
+  if (reason == refusal_reason::kOverloaded) {
+    placement_.OnFull(call.target_host, call.plan.route, now);
+  }
   placement_.OnOutcome(call.target_host, reached_instance);
   call.life_cycle.Process(call_event::kAttemptEnded);
   ReportEvent(call, "refused by target", reason);
@@ -406,11 +414,12 @@
   const auto view = view_.Current();
   const duration mean_service_time =
       placement_.MeanServiceTime(*view, call.plan);
-  const bool has_time =
-      call.deadline - now >= mean_service_time * kSilenceFactor / 2;
+  const duration left = call.deadline - now;
+  const bool has_time = left >= mean_service_time * kSilenceFactor / 2;
   const bool has_target =
       placement_
-          .Choose(*view, call.plan, call.deadline - now, call.tried_hosts, now)
+          .Choose(*view, call.plan, {.objective = left, .deadline = left},
+                  call.tried_hosts, now)
           .has_value();
   const bool may_retry = call.reached_instances + 1 < call.plan.max_attempts &&
                          call.attempts < kMaxAttempts;
--- a/calls/placement.cc
+++ b/calls/placement.cc
@@ -29,8 +29,14 @@
 constexpr double kFailureWeight = 0.1;
 // Instances whose expected latencies differ by less than this share the calls.
 constexpr duration kTieTolerance = std::chrono::milliseconds(2);
-// Part of the objective that the expected latency may use.
-constexpr double kObjectiveShare = 1.0;
+// A call leaves the region if the best instance there is not expected to answer
+// within the time left until the deadline, divided by this. The rest is for the
+// error of the estimate.
+constexpr int kRegionDeadlineDivisor = 2;
+// Limits of the time for which a host counts as full. Within them it is the
+// service time of the route, in which some of the host's calls end.
+constexpr duration kMinFullTime = std::chrono::milliseconds(20);
+constexpr duration kMaxFullTime = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -70,6 +76,28 @@
   known = std::max(known, until);
 }
 
+void placement::OnFull(const host_address& host,
+                       const std::string& route,
+                       instant now) {
+  host_load& load = loads_[host];
+  const bool known = load.full_until_by_route.contains(route);
+  if (known || load.full_until_by_route.size() < kMaxRoutes) {
+    load.full_until_by_route[route] =
+        now + std::clamp(ServiceTime(load, route), kMinFullTime, kMaxFullTime);
+  }
+}
+
+bool placement::IsFull(const host_address& host,
+                       const std::string& route,
+                       instant now) const {
+  const auto load = loads_.find(host);
+  if (load == loads_.end()) {
+    return false;
+  }
+  const auto until = load->second.full_until_by_route.find(route);
+  return until != load->second.full_until_by_route.end() && now < until->second;
+}
+
 bool placement::IsEligible(const snapshot& view,
                            const call_plan& plan,
                            const known_instance& target) const {
@@ -100,6 +128,15 @@
                      });
 }
 
+bool placement::HasEligible(const snapshot& view, const call_plan& plan) const {
+  const auto instances = view.by_service.find(plan.service);
+  return instances != view.by_service.end() &&
+         std::any_of(instances->second.begin(), instances->second.end(),
+                     [&](const known_instance* target) {
+                       return IsEligible(view, plan, *target);
+                     });
+}
+
 std::size_t placement::TierOf(const known_instance& target) const {
   if (target.registration.failure_domain == options_.failure_domain) {
     return 0;
@@ -157,19 +194,20 @@
   return latency;
 }
 
-std::optional<chosen_instance> placement::Choose(
+// Returns the instance of each tier that is expected to answer first.
+placement::candidates placement::FindBestByTier(
     const snapshot& view,
     const call_plan& plan,
-    duration objective_left,
     const std::set<host_address>& tried_hosts,
     instant now) {
+  candidates best_by_tier;
   const auto instances = view.by_service.find(plan.service);
   if (instances == view.by_service.end()) {
-    return std::nullopt;
+    return best_by_tier;
   }
-  std::array<candidate, kTiers> best_by_tier;
   for (const known_instance* target : instances->second) {
-    if (tried_hosts.contains(target->registration.host) ||
+    const host_address& host = target->registration.host;
+    if (tried_hosts.contains(host) || IsFull(host, plan.route, now) ||
         !IsEligible(view, plan, *target)) {
       continue;
     }
@@ -188,22 +226,41 @@
       best_in_tier = evaluated;
     }
   }
+  return best_by_tier;
+}
+
+const placement::candidate* placement::PickTier(const candidates& best_by_tier,
+                                                const call_time& left) {
   const candidate* chosen = nullptr;
-  for (const candidate& best_in_tier : best_by_tier) {
+  for (std::size_t tier = 0; tier < kTiers; ++tier) {
+    const candidate& best_in_tier = best_by_tier[tier];
     if (best_in_tier.target == nullptr) {
       continue;
     }
-    const auto limit =
-        std::chrono::duration_cast<duration>(objective_left * kObjectiveShare);
-    if (best_in_tier.expected_latency <= limit) {
-      chosen = &best_in_tier;
+    const bool leaves_region = tier == kTiers - 1;
+    if (leaves_region && chosen != nullptr &&
+        chosen->expected_latency <= left.deadline / kRegionDeadlineDivisor) {
       break;
     }
+    if (best_in_tier.expected_latency <= left.objective) {
+      return &best_in_tier;
+    }
     if (chosen == nullptr ||
         best_in_tier.expected_latency < chosen->expected_latency) {
       chosen = &best_in_tier;
     }
   }
+  return chosen;
+}
+
+std::optional<chosen_instance> placement::Choose(
+    const snapshot& view,
+    const call_plan& plan,
+    const call_time& left,
+    const std::set<host_address>& tried_hosts,
+    instant now) {
+  const candidates best_by_tier = FindBestByTier(view, plan, tried_hosts, now);
+  const candidate* chosen = PickTier(best_by_tier, left);
   if (chosen == nullptr) {
     return std::nullopt;
   }
--- a/calls/placement.h
+++ b/calls/placement.h
@@ -1,9 +1,12 @@
 // Choice of the instance that a call is sent to. Internal to calls/.
 //
 // Traffic between failure domains is expensive and adds delay, so a call stays
-// as near as possible while it is expected to meet its objective. The choice
-// takes into account that instances differ in speed, and that some fail calls
-// although their health checks pass.
+// as near as possible while it is expected to meet its objective. Traffic
+// between regions shares a narrow link: a call leaves the region only if no
+// instance there is expected to answer well before the deadline. The choice
+// takes into account that instances differ in speed, that some fail calls
+// although their health checks pass, and that a full host refuses the next
+// calls of a route as well.
 
 #ifndef PARSLEYYARD_CALLS_PLACEMENT_H_
 #define PARSLEYYARD_CALLS_PLACEMENT_H_
@@ -24,6 +27,12 @@
   std::string instance;
 };
 
+// Time that a call has left.
+struct call_time {
+  duration objective{};  // until its latency objective; negative: missed
+  duration deadline{};
+};
+
 class placement {
  public:
   placement(const sender_options& options, random_source& random)
@@ -31,11 +40,11 @@
 
   // Returns the nearest instance that is expected to answer within the
   // objective, else the one that is expected to answer first. Skips the hosts
-  // in `tried_hosts`. Empty if no instance is eligible.
+  // in `tried_hosts` and those that are full. Empty if no instance is left.
   std::optional<chosen_instance> Choose(
       const snapshot& view,
       const call_plan& plan,
-      duration objective_left,
+      const call_time& left,
       const std::set<host_address>& tried_hosts,
       instant now);
   // Returns true if the view has an instance on that host that may run the
@@ -44,6 +53,9 @@
                  const call_plan& plan,
                  const host_address& host) const;
 
+  // Returns true if the view has an instance that may run the call.
+  bool HasEligible(const snapshot& view, const call_plan& plan) const;
+
   // Records that an attempt at that host was begun.
   void OnSent(const host_address& host);
   // Records that an attempt at that host has ended.
@@ -56,6 +68,9 @@
               instant now);
   // Records whether an attempt at that host failed.
   void OnOutcome(const host_address& host, bool failed);
+  // Records that the host refused a call of that route because it is full. It
+  // gets no other one until some of its calls have ended.
+  void OnFull(const host_address& host, const std::string& route, instant now);
   // Adds a penalty to the host until the given time, so that calls go elsewhere
   // if they can.
   void Avoid(const host_address& host, instant until);
@@ -75,6 +90,7 @@
     instant reported_at{};
     double failure_share = 0;  // moving average, 0 to 1
     instant avoid_until{};
+    std::map<std::string, instant> full_until_by_route;
   };
   struct candidate {
     const known_instance* target = nullptr;
@@ -85,6 +101,16 @@
   bool IsEligible(const snapshot& view,
                   const call_plan& plan,
                   const known_instance& target) const;
+  bool IsFull(const host_address& host,
+              const std::string& route,
+              instant now) const;
+  using candidates = std::array<candidate, kTiers>;
+  candidates FindBestByTier(const snapshot& view,
+                            const call_plan& plan,
+                            const std::set<host_address>& tried_hosts,
+                            instant now);
+  static const candidate* PickTier(const candidates& best_by_tier,
+                                   const call_time& left);
   std::size_t TierOf(const known_instance& target) const;
   duration ServiceTime(const host_load& load, const std::string& route) const;
   duration ExpectedLatency(const known_instance& target,
