Count the time that a call was on its way against its deadline

A billing-lookup with 400 ms started 924 ms after it was sent.

The target added the time left, as stated when the call was sent, to the time of its receipt. The cancel waited behind the call on the same stream.

Change: a call states when it was sent, by the sender's clock; the target takes what it was on its way beyond the shortest time seen (transit_clock, which updates use already; moved to model/) from its deadline and objective. Messages have format 4: daemons of both formats do not exchange calls.

Evidence: TimeOnTheWayCountsAgainstTheDeadline failed before (1,000 ms left instead of 600; the late call was started) and passes; 165 decision tests pass.

--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -7,6 +7,7 @@
 #include "calls/own_instance.h"
 #include "calls/wait_queue.h"
 #include "model/pause_guard.h"
+#include "model/transit_clock.h"
 
 #include <algorithm>
 
@@ -103,6 +104,7 @@
   cold_limiter cold_limiter_;
   instance_watch watch_;
   pause_guard pause_guard_;
+  transit_clock transit_clock_;
   std::uint32_t running_ = 0;
   bool draining_ = false;
   bool refuses_new_calls_ = false;
@@ -253,14 +255,19 @@
   if (refusal == refusal_reason::kNone && table_.full()) {
     refusal = refusal_reason::kOverloaded;
   }
+  // A call can wait on its way, behind other traffic on a slow link or while
+  // this process is suspended. Its caller may have left meanwhile.
+  const instant sent_at =
+      now - transit_clock_.Observe(
+                id.origin, std::chrono::milliseconds(message->sent_ms), now);
   const instant deadline =
-      now + std::chrono::milliseconds(message->deadline_ms);
+      sent_at + std::chrono::milliseconds(message->deadline_ms);
   table_entry entry{
       .sender = from,
       .message = message,
       .deadline = deadline,
-      .objective = now + std::chrono::milliseconds(message->objective_ms),
-      .expiry = deadline + options_.id_retention};
+      .objective = sent_at + std::chrono::milliseconds(message->objective_ms),
+      .expiry = std::max(now, deadline) + options_.id_retention};
   const waiting_call candidate = ToWaitingCall(*message, entry, now);
   if (refusal == refusal_reason::kNone && options_.limit_admission &&
       !TryAdmit(candidate, now)) {
--- a/calls/pending_calls.cc
+++ b/calls/pending_calls.cc
@@ -15,6 +15,8 @@
   message.route = call.plan.route;
   message.priority = call.plan.priority;
   message.never_repeat = call.plan.never_repeat;
+  message.sent_ms = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
   message.deadline_ms =
       static_cast<std::uint32_t>((call.deadline - now).count() / 1000);
   message.objective_ms = static_cast<std::uint32_t>(
--- a/control/control.h
+++ b/control/control.h
@@ -17,7 +17,7 @@
 #ifndef PARSLEYYARD_CONTROL_CONTROL_H_
 #define PARSLEYYARD_CONTROL_CONTROL_H_
 
-#include "control/transit_clock.h"
+#include "model/transit_clock.h"
 #include "model/model.h"
 #include "model/pause_guard.h"
 
--- a/model/messages_generated.h
+++ b/model/messages_generated.h
@@ -155,6 +155,7 @@
   std::string request_id;          // the caller's id of the request, for logs
   std::uint32_t priority = 0;      // 0: most urgent
   bool never_repeat = false;       // the call may run at most once
+  std::uint64_t sent_ms = 0;       // when sent, by the clock of its sender
   std::uint32_t deadline_ms = 0;   // time left until the deadline when sent
   std::uint32_t objective_ms = 0;  // time left within the latency objective; 0:
                                    // the response is late already
--- a/control/transit_clock.cc
+++ b/model/transit_clock.cc
@@ -1,4 +1,4 @@
-#include "control/transit_clock.h"
+#include "model/transit_clock.h"
 
 #include <algorithm>
 
--- a/control/transit_clock.h
+++ b/model/transit_clock.h
@@ -6,8 +6,8 @@
 // what a message takes beyond it as its delay. A delay that all messages of the
 // last minutes had in common is not seen.
 
-#ifndef PARSLEYYARD_CONTROL_TRANSIT_CLOCK_H_
-#define PARSLEYYARD_CONTROL_TRANSIT_CLOCK_H_
+#ifndef PARSLEYYARD_MODEL_TRANSIT_CLOCK_H_
+#define PARSLEYYARD_MODEL_TRANSIT_CLOCK_H_
 
 #include "model/model.h"
 
@@ -40,4 +40,4 @@
 
 }  // namespace parsleyyard
 
-#endif  // PARSLEYYARD_CONTROL_TRANSIT_CLOCK_H_
+#endif  // PARSLEYYARD_MODEL_TRANSIT_CLOCK_H_
--- a/tests/call_fixtures.h
+++ b/tests/call_fixtures.h
@@ -144,6 +144,7 @@
             .instance = "i",
             .service = "s",
             .route = "r",
+            .sent_ms = static_cast<std::uint64_t>(clock_.now.count() / 1000),
             .deadline_ms = 1000,
             .objective_ms = 500};
   }
--- a/tests/calls_test.cc
+++ b/tests/calls_test.cc
@@ -343,6 +343,24 @@
 // Target: admission and order
 // ---------------------------------------------------------------------------
 
+// Guards against requests that reach the instance after their callers have
+// left: they waited on a link that was full.
+TEST_F(target_fixture, TimeOnTheWayCountsAgainstTheDeadline) {
+  Call(1);
+  call_request slow = Message(2);
+  call_request late = Message(3);
+  clock_.now += milliseconds(400);
+  Send(slow);
+  EXPECT_EQ(time_left_[2], milliseconds(600));
+  Complete(1);
+  Complete(2);
+  clock_.now += milliseconds(500);
+  Send(late);
+  EXPECT_FALSE(time_left_.contains(3));
+  EXPECT_EQ(answers_[3].outcome, call_outcome::kNotRun);
+  EXPECT_EQ(answers_[3].reason, refusal_reason::kDeadlinePassed);
+}
+
 TEST_F(target_fixture, DeadlinePassedInQueueIsNotRun) {
   Call(1);
   Call(2);
--- a/wire/codec_generated.h
+++ b/wire/codec_generated.h
@@ -12,7 +12,7 @@
 namespace parsleyyard {
 
 // Format version of all messages; a peer with a different version is refused.
-inline constexpr std::uint16_t kFormatVersion = 3;
+inline constexpr std::uint16_t kFormatVersion = 4;
 
 // Any message that daemons send to each other.
 using any_message = std::variant<link_hello,
@@ -82,6 +82,7 @@
   archive(bounded_string{value.request_id, 200});
   archive(value.priority);
   archive(value.never_repeat);
+  archive(value.sent_ms);
   archive(value.deadline_ms);
   archive(value.objective_ms);
   archive(bounded_string{value.method, 65536});
