Keep silent attempts while the daemon that sent them drains

Change: once the stop is announced, the sender gives up no silent attempt. A hedged second attempt beside the first was weighed; it needs two attempts for each call and is left open.

--- a/calls/call_sender.cc
+++ b/calls/call_sender.cc
@@ -70,6 +70,7 @@
   void OnLinkDown(const host_address& peer);
   void OnAnswer(const host_address& from, call_answer message);
   void SetRetryLimits(const retry_limits& limits) { budget_.SetLimits(limits); }
+  void BeginDrain() { draining_ = true; }
   std::size_t size() const { return calls_.size(); }
 
  private:
@@ -106,6 +107,7 @@
   placement placement_;
   retry_budget budget_;
   pending_calls calls_;
+  bool draining_ = false;
 };
 
 void sender_internals::Begin(std::uint64_t handle,
@@ -423,7 +425,7 @@
           .has_value();
   const bool may_retry = call.reached_instances + 1 < call.plan.max_attempts &&
                          call.attempts < kMaxAttempts;
-  if (!has_time || !has_target || !may_retry ||
+  if (draining_ || !has_time || !has_target || !may_retry ||
       !budget_.TryAcquire(call.plan.service, retry_kind::kRerun, DaemonCount(),
                           now)) {
     return;
@@ -508,6 +510,9 @@
 void call_sender::SetRetryLimits(const retry_limits& limits) {
   internals_->SetRetryLimits(limits);
 }
+void call_sender::BeginDrain() {
+  internals_->BeginDrain();
+}
 std::size_t call_sender::in_flight() const {
   return internals_->size();
 }
--- a/calls/calls.h
+++ b/calls/calls.h
@@ -236,6 +236,9 @@
   void OnLinkDown(const host_address& peer);
   void OnAnswer(const host_address& from, call_answer message);
   void SetRetryLimits(const retry_limits& limits);
+  // From now on a slow attempt is kept to its end: a daemon that stops must not
+  // give up what its callers wait for.
+  void BeginDrain();
   // Returns the number of calls that have no result yet.
   std::size_t in_flight() const;
 
