Split the call sender and the call target

The decisions of each stood in one file of more than 500 lines. sender_outcomes.cc has what follows when an attempt has ended, target_runs.cc starts and ends calls; the classes stand in headers internal to calls/. Functions are moved, not changed. 132 decision tests pass.

--- /dev/null
+++ b/calls/sender_internals.h
@@ -0,0 +1,91 @@
+// State and decisions of the call sender. Internal to calls/.
+//
+// call_sender.cc places attempts and handles events of links, callers and the
+// clock; sender_outcomes.cc decides what follows when an attempt has ended.
+
+#ifndef PARSLEYYARD_CALLS_SENDER_INTERNALS_H_
+#define PARSLEYYARD_CALLS_SENDER_INTERNALS_H_
+
+#include "calls/calls.h"
+#include "calls/pending_calls.h"
+#include "calls/placement.h"
+#include "calls/retry_budget.h"
+
+namespace parsleyyard {
+
+// No attempt starts with less time than this until the deadline, because it
+// could not be answered in time.
+inline constexpr duration kMinAttemptTime = std::chrono::milliseconds(20);
+
+// An attempt counts as silent after this many times the mean service time.
+inline constexpr int kSilenceFactor = 4;
+
+class sender_internals {
+ public:
+  sender_internals(sender_options options,
+                   const clock_source& clock,
+                   random_source& random,
+                   const view_source& view,
+                   call_link& link,
+                   call_sink& sink,
+                   call_listener& listener)
+      : options_(std::move(options)),
+        clock_(clock),
+        random_(random),
+        view_(view),
+        link_(link),
+        sink_(sink),
+        listener_(listener),
+        placement_(options_, random),
+        budget_(options_.retries) {}
+
+  void Begin(std::uint64_t handle, const call_plan& plan, call_request message);
+  void Cancel(std::uint64_t handle);
+  void Tick();
+  void OnLinkUp(const host_address& peer, std::uint64_t incarnation);
+  void OnLinkDown(const host_address& peer);
+  void OnAnswer(const host_address& from, call_answer message);
+  void SetRetryLimits(const retry_limits& limits) { budget_.SetLimits(limits); }
+  void BeginDrain() { draining_ = true; }
+  std::size_t size() const { return calls_.size(); }
+
+ private:
+  void StartAttempt(pending_call& call, refusal_reason last_refusal);
+  void SendAttempt(pending_call& call, std::uint64_t incarnation);
+  void ReleaseTarget(pending_call& call);
+  void OnNotRun(pending_call& call,
+                refusal_reason reason,
+                bool reached_instance);
+  void EndAttemptThatMayHaveRun(pending_call& call,
+                                std::string_view event,
+                                refusal_reason reason);
+  void OnUnknownOutcome(pending_call& call, refusal_reason reason);
+  void OnInstanceFailure(pending_call& call, call_result result);
+  void OnSilentAttempt(pending_call& call);
+  void OnDeadline(pending_call& call);
+  bool TryAcquireRetry(const pending_call& call, retry_kind kind);
+  void CancelAttempt(const pending_call& call);
+  void Finish(pending_call& call, call_result result);
+  void Refuse(pending_call& call, refusal_reason reason);
+  duration DrawRetryAfter(const pending_call& call);
+  std::size_t DaemonCount() const;
+  void ReportEvent(const pending_call& call,
+                   std::string_view event,
+                   refusal_reason reason = refusal_reason::kNone) const;
+
+  sender_options options_;
+  const clock_source& clock_;
+  random_source& random_;
+  const view_source& view_;
+  call_link& link_;
+  call_sink& sink_;
+  call_listener& listener_;
+  placement placement_;
+  retry_budget budget_;
+  pending_calls calls_;
+  bool draining_ = false;
+};
+
+}  // namespace parsleyyard
+
+#endif  // PARSLEYYARD_CALLS_SENDER_INTERNALS_H_
