--- a/control/control.h
+++ b/control/control.h
@@ -17,9 +17,9 @@
 #ifndef PARSLEYYARD_CONTROL_CONTROL_H_
 #define PARSLEYYARD_CONTROL_CONTROL_H_
 
-#include "model/transit_clock.h"
 #include "model/model.h"
 #include "model/pause_guard.h"
+#include "model/transit_clock.h"
 
 #include <map>
 #include <memory>
