Read nothing more from a caller that has closed its connection

Callers saw: nothing; a daemon used a whole processor while a caller that had ended its input took none of a large response, up to the idle timeout.

Cause, found by reading the session: the end of the input makes the socket readable, and the reader, which waits for its turn, read it again and again.

Evidence: CallerThatEndsItsInputAndReadsNothingCostsNothing counts 1,000 handlers in 1,000 polls before (bound 50) and passes.

--- a/net/http_session.cc
+++ b/net/http_session.cc
@@ -154,7 +154,8 @@
 // Receives what has arrived. Without input, waits for it until `deadline` or
 // until the reader is woken. Sets `caller_closed_` at the end of the input.
 asio::awaitable<void> http_session::Receive(time_point deadline) {
-  const std::size_t room = beast::read_size(buffer_, kMaxReadBytes);
+  const std::size_t room =
+      caller_closed_ ? 0 : beast::read_size(buffer_, kMaxReadBytes);
   if (readable_ && room > 0) {
     beast::error_code error;
     const std::size_t size = socket_.read_some(buffer_.prepare(room), error);
--- a/tests/http_pipelining_test.cc
+++ b/tests/http_pipelining_test.cc
@@ -394,6 +394,46 @@
   EXPECT_EQ(handler_.started(), (std::vector<std::string>{"/1", "/2", "/3"}));
 }
 
+// Answers each request at once, with more than the socket buffers hold.
+class large_response_handler : public http_handler {
+ public:
+  std::optional<http_response> OnHead(const http_request& /*head*/) override {
+    return std::nullopt;
+  }
+  std::function<void()> OnRequest(http_request /*request*/,
+                                  response_callback reply) override {
+    constexpr std::size_t kLargeBytes = std::size_t{32} << 20;
+    ++requests;
+    reply({.body = std::string(kLargeBytes, 'x')});
+    return nullptr;
+  }
+
+  int requests = 0;
+};
+
+// Guards against a session that reads the end of the input again and again.
+TEST(HttpServer, CallerThatEndsItsInputAndReadsNothingCostsNothing) {
+  asio::io_context context;
+  large_response_handler handler;
+  http_server server(context, {.address = kHost, .port = kPort}, handler);
+  ASSERT_TRUE(server.Listen());
+  asio::io_context callers;
+  tcp::socket caller(callers);
+  caller.connect({asio::ip::make_address_v4(kHost), kPort});
+  WriteText(caller, Get(1));
+  while (handler.requests == 0) {
+    context.run_one();
+  }
+  context.poll();
+  caller.shutdown(tcp::socket::shutdown_send);
+  constexpr int kPolls = 1000;
+  std::size_t handled = 0;
+  for (int i = 0; i < kPolls; ++i) {
+    handled += context.poll_one();
+  }
+  EXPECT_LT(handled, 50u);
+}
+
 // ---------------------------------------------------------------------------
 // Order of responses
 // ---------------------------------------------------------------------------
