--- a/control/control.h
+++ b/control/control.h
@@ -129,6 +129,12 @@
   bool reachable = true;  // false: the link to it is known to be down
 };
 
+// Returns the daemons beside the instances of the view, in the order of their
+// addresses, without `self`.
+std::vector<relay_peer> ListPeers(const snapshot& view,
+                                  const host_address& self,
+                                  const region_map& regions);
+
 // A part of a region in the address order. The receiver of an update passes it
 // on to the other daemons within the range.
 struct relay_range {
@@ -295,7 +301,7 @@
   std::size_t Rank() const;
   bool IsListed() const;
   bool BringsUpToDate(const host_address& peer) const;
-  std::size_t RankInRegion(const host_address& except) const;
+  std::size_t RankInRegion() const;
   std::size_t CountPeersInRegion() const;
   bool WaitsForStartupReaders() const;
   bool ReadsForRegionAtStart() const;
--- a/control/relay_plan.cc
+++ b/control/relay_plan.cc
@@ -74,6 +74,27 @@
 
 }  // namespace
 
+std::vector<relay_peer> ListPeers(const snapshot& view,
+                                  const host_address& self,
+                                  const region_map& regions) {
+  std::map<host_address, relay_peer> peers;
+  for (const auto& [id, known] : view.instances) {
+    const instance& registration = known.registration;
+    const std::string& domain = registration.failure_domain;
+    if (registration.host != self) {
+      peers[registration.host] = {
+          .address = registration.host,
+          .region = std::string(RegionOf(regions, domain)),
+          .failure_domain = domain};
+    }
+  }
+  std::vector<relay_peer> list;
+  for (auto& [address, peer] : peers) {
+    list.push_back(std::move(peer));
+  }
+  return list;
+}
+
 std::uint64_t AddressOrder(const host_address& address) {
   return XXH3_64bits(address.data(), address.size());
 }
--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -87,23 +87,12 @@
 // ---------------------------------------------------------------------------
 
 std::vector<relay_peer> view_keeper::Peers() const {
-  std::map<host_address, relay_peer> peers;
-  for (const auto& [id, known] : view_->instances) {
-    if (known.registration.host == options_.address) {
-      continue;
-    }
-    const std::string& domain = known.registration.failure_domain;
-    peers[known.registration.host] = {
-        .address = known.registration.host,
-        .region = std::string(RegionOf(options_.regions, domain)),
-        .failure_domain = domain,
-        .reachable = transport_.IsReachable(known.registration.host)};
-  }
-  std::vector<relay_peer> list;
-  for (auto& [address, peer] : peers) {
-    list.push_back(std::move(peer));
-  }
-  return list;
+  std::vector<relay_peer> peers =
+      ListPeers(*view_, options_.address, options_.regions);
+  for (relay_peer& peer : peers) {
+    peer.reachable = transport_.IsReachable(peer.address);
+  }
+  return peers;
 }
 
 // Number of daemons before this one in the address order.
@@ -125,14 +114,13 @@
       [&](const relay_peer& peer) { return peer.region == options_.region; }));
 }
 
-// Number of peers of the region before this daemon in the address order,
-// without `except`.
-std::size_t view_keeper::RankInRegion(const host_address& except) const {
+// Number of peers of the region before this daemon in the address order.
+std::size_t view_keeper::RankInRegion() const {
   const std::uint64_t own = AddressOrder(options_.address);
   const std::vector<relay_peer> peers = Peers();
   return static_cast<std::size_t>(
       std::count_if(peers.begin(), peers.end(), [&](const relay_peer& peer) {
-        return peer.region == options_.region && peer.address != except &&
+        return peer.region == options_.region &&
                AddressOrder(peer.address) < own;
       }));
 }
--- a/control/view_updates.cc
+++ b/control/view_updates.cc
@@ -52,12 +52,12 @@
 // send it to this one.
 bool view_keeper::WaitsForStartupReaders() const {
   return CountPeersInRegion() > kSmallRegionPeers && IsListed() &&
-         RankInRegion("") >= kRegionReaders;
+         RankInRegion() >= kRegionReaders;
 }
 
 // True if this daemon is the first of a large region.
 bool view_keeper::ReadsForRegionAtStart() const {
-  return CountPeersInRegion() > kSmallRegionPeers && RankInRegion("") == 0;
+  return CountPeersInRegion() > kSmallRegionPeers && RankInRegion() == 0;
 }
 
 view_update view_keeper::EmptyUpdate(std::uint64_t from_revision) const {
@@ -185,7 +185,7 @@
   }
   needs_catch_up_ = true;
   Report("update not applied", "", "an earlier one is missing");
-  const std::size_t rank = RankInRegion("");
+  const std::size_t rank = RankInRegion();
   const bool reads_for_region =
       CountPeersInRegion() > kSmallRegionPeers && IsListed();
   shares_next_read_ = reads_for_region && rank < kRegionReaders;
@@ -390,7 +390,7 @@
   }
   if (found->region != options_.region) {
     const auto readers = FirstOfRegion(found->region, peers, kRegionReaders);
-    return RankInRegion("") < kRegionReaders &&
+    return RankInRegion() < kRegionReaders &&
            std::find(readers.begin(), readers.end(), peer) != readers.end();
   }
   const auto predecessors =
@@ -415,7 +415,7 @@
 void view_keeper::ShareFirstView() const {
   if (TimeSinceNews(clock_.Now()) >= options_.stale_after &&
       CountPeersInRegion() > kSmallRegionPeers &&
-      RankInRegion("") < kRegionReaders) {
+      RankInRegion() < kRegionReaders) {
     SendFullUpdateToRegion();
   }
 }
--- a/daemon/peer_wiring.cc
+++ b/daemon/peer_wiring.cc
@@ -4,7 +4,6 @@
 #include "daemon/component_options.h"
 #include "daemon/daemon_internals.h"
 
-#include <map>
 #include <vector>
 
 namespace parsleyyard {
@@ -34,25 +33,12 @@
 // not wait for a connection. The hello of each new stream also reveals whether
 // the peer has restarted.
 void daemon_internals::OpenMissingLinks() {
-  const region_map regions = ParseRegions(settings_);
-  std::map<host_address, relay_peer> peers;
-  for (const auto& [id, known] : view_.Current()->instances) {
-    const instance& registration = known.registration;
-    if (!IsSelf(registration.host)) {
-      peers[registration.host] = {
-          .address = registration.host,
-          .region = std::string(RegionOf(regions, registration.failure_domain)),
-          .failure_domain = registration.failure_domain};
-    }
-  }
-  std::vector<relay_peer> list;
-  for (auto& [address, peer] : peers) {
-    list.push_back(std::move(peer));
-  }
   const relay_peer self{.address = settings_.host.address,
                         .region = settings_.host.region,
                         .failure_domain = settings_.host.failure_domain};
-  for (const host_address& host : PlanLinks(self, list)) {
+  const std::vector<relay_peer> peers =
+      ListPeers(*view_.Current(), self.address, ParseRegions(settings_));
+  for (const host_address& host : PlanLinks(self, peers)) {
     if (!mesh_.PeerIncarnation(host)) {
       mesh_.Open(host);
     }
--- a/tests/view_world.cc
+++ b/tests/view_world.cc
@@ -369,19 +369,11 @@
     if (!each->alive || each->suspended || each->peers_partitioned) {
       continue;
     }
-    const auto& instances = each->keeper->Current()->instances;
-    std::vector<relay_peer> peers;
-    for (const auto& [id, known] : instances) {
-      const int peer = IndexOf(known.registration.host);
-      if (peer != each->index) {
-        peers.push_back({.address = known.registration.host,
-                         .region = RegionOfDomain(peer % kDomains),
-                         .failure_domain = DomainOf(peer)});
-      }
-    }
     const relay_peer self{.address = HostOf(each->index),
                           .region = RegionOfDomain(each->index % kDomains),
                           .failure_domain = DomainOf(each->index)};
+    const std::vector<relay_peer> peers =
+        ListPeers(*each->keeper->Current(), self.address, Regions());
     for (const host_address& linked : PlanLinks(self, peers)) {
       const node& peer = *nodes_[IndexOf(linked)];
       if (peer.alive && !peer.suspended && !peer.peers_partitioned) {
