--- a/net/http_session.cc
+++ b/net/http_session.cc
@@ -265,7 +265,7 @@
   const http_server_options& options = server_->options_;
   return queue_.empty() ||
          (!last_runs_alone_ && queue_.size() < options.max_pipelined_requests &&
-          queue_.held_bytes() < options.max_pipelined_bytes);
+          queue_.HeldBytes() < options.max_pipelined_bytes);
 }
 
 // Waits for the first byte of a request. False if no further request is read:
--- a/net/response_queue.cc
+++ b/net/response_queue.cc
@@ -52,7 +52,7 @@
   pending_.erase(first_unanswered, pending_.end());
 }
 
-std::size_t response_queue::held_bytes() const {
+std::size_t response_queue::HeldBytes() const {
   std::size_t bytes = 0;
   for (const pending_response& each : pending_) {
     bytes += each.held_bytes;
--- a/net/response_queue.h
+++ b/net/response_queue.h
@@ -48,7 +48,7 @@
 
   bool empty() const { return pending_.empty(); }
   std::size_t size() const { return pending_.size(); }
-  std::size_t held_bytes() const;
+  std::size_t HeldBytes() const;
 
  private:
   pending_response* Find(std::uint64_t number);
--- a/tests/http_pipelining_test.cc
+++ b/tests/http_pipelining_test.cc
@@ -81,11 +81,11 @@
                                   [&] { return aborted_.size() >= count; }))
         << aborted_.size() << " of " << count;
   }
-  std::vector<std::string> started() {
+  std::vector<std::string> Started() {
     const std::lock_guard lock(mutex_);
     return started_;
   }
-  duration waited(const std::string& target) {
+  duration Waited(const std::string& target) {
     const std::lock_guard lock(mutex_);
     return waited_[target];
   }
@@ -203,7 +203,7 @@
   handler_.Answer("/1");
   ExpectResponse("/1");
   handler_.AwaitStarted(5);
-  EXPECT_EQ(handler_.started().back(), "/5");
+  EXPECT_EQ(handler_.Started().back(), "/5");
 }
 
 // A caller must not fill the memory with responses that it does not read.
@@ -212,12 +212,12 @@
   handler_.AwaitStarted(2);
   handler_.Answer("/2", {.body = std::string(2000, 'x')});
   const auto is_held = [&] {
-    return handler_.waited("/3") == duration::zero();
+    return handler_.Waited("/3") == duration::zero();
   };
   std::this_thread::sleep_for(milliseconds(50));  // the response arrives
   Send(Get(3));
   std::this_thread::sleep_for(milliseconds(50));
-  EXPECT_EQ(handler_.started().size(), 2u);
+  EXPECT_EQ(handler_.Started().size(), 2u);
   EXPECT_TRUE(is_held());
   handler_.Answer("/1");
   handler_.AwaitStarted(3);
@@ -227,13 +227,13 @@
   Send(Get(1) + Request("POST /2", "content-length: 2\r\n") + "ab" + Get(3));
   handler_.AwaitStarted(1);
   std::this_thread::sleep_for(milliseconds(50));
-  EXPECT_EQ(handler_.started().size(), 1u);
+  EXPECT_EQ(handler_.Started().size(), 1u);
   handler_.Answer("/1");
   handler_.AwaitStarted(2);
   std::this_thread::sleep_for(milliseconds(50));
-  EXPECT_EQ(handler_.started().size(), 2u);
+  EXPECT_EQ(handler_.Started().size(), 2u);
   // Its time counts from its arrival.
-  EXPECT_GE(handler_.waited("/2"), milliseconds(45));
+  EXPECT_GE(handler_.Waited("/2"), milliseconds(45));
   handler_.Answer("/2");
   handler_.Answer("/3");
   ExpectResponse("/1");
@@ -250,7 +250,7 @@
   ExpectResponse("/1");
   ExpectResponse("/2", true);
   ExpectEnd();
-  EXPECT_EQ(handler_.started().size(), 2u);
+  EXPECT_EQ(handler_.Started().size(), 2u);
 }
 
 TEST_F(pipelining_fixture, ResponseThatClosesComesAfterThoseThatWereRead) {
@@ -262,7 +262,7 @@
   handler_.Answer("/2");
   ExpectResponse("/2", true);
   ExpectEnd();
-  EXPECT_EQ(handler_.started().size(), 2u);
+  EXPECT_EQ(handler_.Started().size(), 2u);
 }
 
 TEST_F(pipelining_fixture, StopAnswersAllThatWasRead) {
@@ -276,7 +276,7 @@
   ExpectResponse("/1");
   ExpectResponse("/2", true);
   ExpectEnd();
-  EXPECT_EQ(handler_.started().size(), 2u);
+  EXPECT_EQ(handler_.Started().size(), 2u);
 }
 
 TEST_F(pipelining_fixture, StopClosesConnectionWhoseRequestsAreAnswered) {
@@ -305,7 +305,7 @@
   handler_.AwaitStarted(4);
   caller_.close();
   handler_.AwaitAborted(4);
-  EXPECT_EQ(handler_.started().size(), 4u);
+  EXPECT_EQ(handler_.Started().size(), 4u);
 }
 
 TEST_F(pipelining_fixture, RefusalWithoutBodyKeepsItsTurnAndTheConnection) {
@@ -330,7 +330,7 @@
     caller_ = tcp::socket(callers_);
     caller_.connect({asio::ip::make_address_v4(kHost), kPort});
     received_.clear();
-    const std::size_t started = handler_.started().size();
+    const std::size_t started = handler_.Started().size();
     Send(Get(1) + request + Get(3));
     handler_.AwaitStarted(started + 1);
     std::this_thread::sleep_for(milliseconds(20));
@@ -341,7 +341,7 @@
     EXPECT_EQ(rejection->status, "400") << request;
     EXPECT_TRUE(rejection->closes) << request;
     ExpectEnd();
-    EXPECT_EQ(handler_.started().size(), started + 1) << request;
+    EXPECT_EQ(handler_.Started().size(), started + 1) << request;
   }
 }
 
@@ -391,7 +391,7 @@
        Request("PUT /2", "content-length: 16\r\n") + "GET / HTTP/1.1\r\n" +
        Get(3));
   handler_.AwaitStarted(3);
-  EXPECT_EQ(handler_.started(), (std::vector<std::string>{"/1", "/2", "/3"}));
+  EXPECT_EQ(handler_.Started(), (std::vector<std::string>{"/1", "/2", "/3"}));
 }
 
 // Answers each request at once, with more than the socket buffers hold.
@@ -463,7 +463,7 @@
   const auto first = queue.Add({.held_bytes = 100});
   queue.Add({.held_bytes = 10});
   queue.SetResponse(first, {.body = "four"});
-  EXPECT_EQ(queue.held_bytes(), 14u);
+  EXPECT_EQ(queue.HeldBytes(), 14u);
   queue.AbortUnanswered();
   EXPECT_EQ(queue.size(), 1u);
   ASSERT_NE(queue.Front(), nullptr);
