Ask the peers to send nothing more before a daemon stops

Change: before it stops, the daemon tells its peers; each ends its direction of the stream, and what has arrived until then is handled, so that calls are refused as not run. At most 200 ms. Weighed: a list of the calls that were handled, in a last message (more state, the same answer).

Evidence: Mesh.MessagesOnTheirWayAreHandledBeforeAGracefulStop, 20 rounds, fails with the streams closed at once and passes.

--- a/daemon/daemon_internals.h
+++ b/daemon/daemon_internals.h
@@ -165,6 +165,7 @@
   asio::steady_timer drain_timer_;
   std::atomic<bool> draining_{false};
   instant drain_started_at_{};
+  std::optional<instant> peers_asked_at_;  // to send nothing more
 };
 
 }  // namespace parsleyyard
--- a/daemon/drain.cc
+++ b/daemon/drain.cc
@@ -9,13 +9,18 @@
 namespace {
 
 constexpr duration kDrainCheckInterval = std::chrono::milliseconds(20);
+// Longest wait for the peers to stop sending.
+constexpr duration kPeerTimeout = std::chrono::milliseconds(200);
 
 }  // namespace
 
 // For drain_notice after the drain begins, the stop is announced while new
 // requests are still accepted, so that callers and peers stop sending here.
-// Then the listener closes, and the calls in flight finish. The daemon stops
-// once they have, at the latest drain_timeout after the drain began.
+// Then the listener closes, and the calls in flight finish. Once they have, or
+// drain_timeout after the drain began, the peers are asked to send nothing
+// more. Calls that were on their way are refused, since a call that nobody
+// reads would have an unknown outcome. The daemon stops when all peers have
+// done so.
 void daemon_internals::BeginDrain() {
   asio::post(context_, [this] {
     if (draining_.exchange(true)) {
@@ -55,8 +60,14 @@
   if (idle) {
     caller_server_.CloseIdle();
   }
-  if ((idle && caller_server_.IsClosed()) ||
-      elapsed >= settings_.calls.drain_timeout) {
+  const bool ended = (idle && caller_server_.IsClosed()) ||
+                     elapsed >= settings_.calls.drain_timeout;
+  if (ended && !peers_asked_at_) {
+    peers_asked_at_ = clock_.Now();
+    mesh_.BeginClose();
+  }
+  if (peers_asked_at_ && (!mesh_.HasIncomingStreams() ||
+                          clock_.Now() - *peers_asked_at_ >= kPeerTimeout)) {
     Stop();
   }
 }
--- a/model/messages_generated.h
+++ b/model/messages_generated.h
@@ -211,6 +211,12 @@
   bool operator==(const call_cancel&) const = default;
 };
 
+// The sender is about to stop. The receiver sends no more on the stream; what
+// it has sent until then is handled.
+struct link_close {
+  bool operator==(const link_close&) const = default;
+};
+
 }  // namespace parsleyyard
 
 #endif  // PARSLEYYARD_MODEL_MESSAGES_GENERATED_H_
--- a/net/net.h
+++ b/net/net.h
@@ -149,7 +149,13 @@
   // False for `unreachable_period` after the outgoing stream ended or could not
   // be opened, unless a new stream has come up since.
   bool IsReachable(const host_address& peer) const;
-  // Closes the listener and all streams. No stream is opened after that.
+  // A graceful stop takes two calls. BeginClose() closes the listener and asks
+  // the peers to send nothing more. Each stream that a peer opened ends when
+  // all that the peer had sent was handled; then HasIncomingStreams() is false.
+  // Close() closes the listener and all streams. No stream is opened after
+  // that.
+  void BeginClose();
+  bool HasIncomingStreams() const;
   void Close();
   const mesh_counters& counters() const;
 
--- a/net/peer_mesh.cc
+++ b/net/peer_mesh.cc
@@ -54,12 +54,15 @@
             const any_message& message,
             send_mode mode);
   bool IsReachable(const host_address& peer) const;
+  void BeginClose();
+  bool HasIncomingStreams() const;
   void Close();
 
   void OnHello(const std::shared_ptr<stream_link>& link,
                const link_hello& hello) override;
   void OnMessage(const std::shared_ptr<stream_link>& link,
                  any_message message) override;
+  void OnPeerStops(const std::shared_ptr<stream_link>& link) override;
   void OnBadFrame() override { ++counters_.bad_frames; }
   void OnClosed(const std::shared_ptr<stream_link>& link) override;
 
@@ -76,6 +79,7 @@
 
   asio::awaitable<void> AcceptConnections();
   asio::awaitable<void> PauseAfterError();
+  void CloseAcceptor();
   std::shared_ptr<stream_link> OpenStream(const host_address& peer);
   asio::ip::address_v4 Resolve(const host_address& peer) const;
   void SendOn(stream_link& link,
@@ -310,6 +314,42 @@
   }
 }
 
+// Calls go elsewhere from now on. The stream carries the answers to those that
+// were sent, until the peer ends it.
+void mesh_internals::OnPeerStops(const std::shared_ptr<stream_link>& link) {
+  const std::lock_guard lock(mutex_);
+  const auto found = outgoing_.find(link->peer);
+  if (found != outgoing_.end() && found->second.link == link) {
+    found->second.incarnation.reset();
+  }
+}
+
+void mesh_internals::BeginClose() {
+  std::vector<std::shared_ptr<stream_link>> links;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& [peer, link] : incoming_) {
+      links.push_back(link);
+    }
+  }
+  for (const auto& link : links) {
+    link->AnnounceClose();
+  }
+  CloseAcceptor();
+}
+
+bool mesh_internals::HasIncomingStreams() const {
+  const std::lock_guard lock(mutex_);
+  return !incoming_.empty();
+}
+
+void mesh_internals::CloseAcceptor() {
+  asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+    boost::system::error_code ignored;
+    self->acceptor_.close(ignored);
+  });
+}
+
 void mesh_internals::Close() {
   std::vector<std::shared_ptr<stream_link>> links;
   {
@@ -327,10 +367,7 @@
       link->Close();
     }
   }
-  asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
-    boost::system::error_code ignored;
-    self->acceptor_.close(ignored);
-  });
+  CloseAcceptor();
 }
 
 peer_mesh::peer_mesh(asio::io_context& context,
@@ -358,6 +395,12 @@
 bool peer_mesh::IsReachable(const host_address& peer) const {
   return internals_->IsReachable(peer);
 }
+void peer_mesh::BeginClose() {
+  internals_->BeginClose();
+}
+bool peer_mesh::HasIncomingStreams() const {
+  return internals_->HasIncomingStreams();
+}
 void peer_mesh::Close() {
   internals_->Close();
 }
--- a/net/stream_link.cc
+++ b/net/stream_link.cc
@@ -91,7 +91,7 @@
         asio::buffer(received) + old_size, kNothrowAwaitable);
     received.resize(old_size + size);
     if (error) {
-      co_return true;
+      break;
     }
     received_at_ = std::chrono::steady_clock::now();
     awaiting_probe_reply_ = false;
@@ -99,9 +99,22 @@
       co_return false;
     }
   }
+  if (close_announced_) {
+    co_await AwaitWrites();
+  }
   co_return true;
 }
 
+// Waits until the answers to what the peer has sent are written.
+asio::awaitable<void> stream_link::AwaitWrites() {
+  constexpr auto kCheckInterval = std::chrono::milliseconds(1);
+  asio::steady_timer timer(socket_.get_executor());
+  while (writing_ && !closed_) {
+    timer.expires_after(kCheckInterval);
+    co_await timer.async_wait(kNothrowAwaitable);
+  }
+}
+
 // Handles the complete frames at the front of `received` and removes them.
 // False if one of them is rejected.
 bool stream_link::HandleFrames(std::string& received) {
@@ -146,6 +159,13 @@
     }
     return true;
   }
+  if (std::holds_alternative<link_close>(*message)) {
+    if (outgoing) {
+      listener_.OnPeerStops(shared_from_this());
+      EndSending();
+    }
+    return outgoing;
+  }
   if (hello != nullptr) {
     hello_received_ = true;
     listener_.OnHello(shared_from_this(), *hello);
@@ -162,7 +182,7 @@
 void stream_link::Send(frame_ptr frame, bool urgent) {
   asio::dispatch(socket_.get_executor(), [self = shared_from_this(),
                                           frame = std::move(frame), urgent] {
-    if (self->closed_) {
+    if (self->closed_ || self->sending_ended_) {
       return;
     }
     self->queued_bytes_ += frame->size();
@@ -208,6 +228,25 @@
     frames_in_write_ = 0;
   }
   writing_ = false;
+  if (sending_ended_) {
+    EndSending();
+  }
+}
+
+void stream_link::AnnounceClose() {
+  asio::dispatch(socket_.get_executor(), [self = shared_from_this()] {
+    self->close_announced_ = true;
+    self->SendMessage(link_close{});
+  });
+}
+
+// Ends this side's direction of the stream once the queue is written.
+void stream_link::EndSending() {
+  sending_ended_ = true;
+  if (!writing_) {
+    boost::system::error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  }
 }
 
 // The side that accepted the stream waits longer, so that the other one closes
--- a/net/stream_link.h
+++ b/net/stream_link.h
@@ -30,6 +30,9 @@
   // Any later message. Probes are handled by the stream itself.
   virtual void OnMessage(const std::shared_ptr<stream_link>& link,
                          any_message message) = 0;
+  // The peer is about to stop and gets nothing more on this stream. Called on
+  // outgoing streams.
+  virtual void OnPeerStops(const std::shared_ptr<stream_link>& link) = 0;
   // A frame was rejected. The stream ends.
   virtual void OnBadFrame() = 0;
   // The stream ended or could not be opened. Called once.
@@ -49,6 +52,9 @@
   // Queues a frame; an urgent one goes ahead of the frames that are not yet
   // being written. Closes the stream if its queue is too long. Thread-safe.
   void Send(frame_ptr frame, bool urgent);
+  // Asks the peer, which opened the stream, to send nothing more. The stream
+  // ends once all that the peer has sent was handled. Thread-safe.
+  void AnnounceClose();
   void Close();  // thread-safe
   // Returns true if this side closed the stream because it was idle. Valid in
   // OnClosed().
@@ -64,6 +70,8 @@
   bool HandleFrame(std::string_view frame);
   void SendMessage(const any_message& message);
   asio::awaitable<void> WriteQueue();
+  asio::awaitable<void> AwaitWrites();
+  void EndSending();
   asio::awaitable<void> WatchLiveness();
   bool IsIdle(std::chrono::steady_clock::time_point now) const;
 
@@ -73,8 +81,10 @@
   asio::steady_timer liveness_timer_;
   std::deque<frame_ptr> queue_;
   std::size_t queued_bytes_ = 0;
-  bool writing_ = false;    // WriteQueue() runs
-  bool connected_ = false;  // frames may be written
+  bool writing_ = false;          // WriteQueue() runs
+  bool connected_ = false;        // frames may be written
+  bool close_announced_ = false;  // by this side
+  bool sending_ended_ = false;    // nothing is queued any more
   bool closed_ = false;
   bool closed_as_idle_ = false;
   bool hello_received_ = false;
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -258,5 +258,64 @@
   context.run_for(milliseconds(100));
 }
 
+// Sends messages to a peer for as long as the stream to it is up, from the only
+// thread of its io_context, as a daemon with one worker does.
+class steady_sender {
+ public:
+  steady_sender(asio::io_context& context, peer_mesh& mesh, std::string peer)
+      : context_(context), mesh_(mesh), peer_(std::move(peer)) {}
+
+  void SendNext() {
+    if (mesh_.PeerIncarnation(peer_)) {
+      mesh_.Send(peer_, call_cancel{}, send_mode::kIfConnected);
+      ++sent;
+    }
+    if (!stopped) {
+      asio::post(context_, [this] { SendNext(); });
+    }
+  }
+
+  std::atomic<int> sent{0};
+  std::atomic<bool> stopped{false};
+
+ private:
+  asio::io_context& context_;
+  peer_mesh& mesh_;
+  const std::string peer_;
+};
+
+// Guards against calls of unknown outcome during a planned stop: they were on
+// their way when their target closed its streams, and nobody read them.
+TEST(Mesh, MessagesOnTheirWayAreHandledBeforeAGracefulStop) {
+  const std::string stopping_host = "127.9.0.2";
+  for (int round = 0; round < 20; ++round) {
+    worker_threads pool;
+    counting_listener stopping_listener;
+    peer_mesh stopping(
+        pool.context,
+        {.address = stopping_host, .port = kMeshPort, .incarnation = 5},
+        stopping_listener);
+    ASSERT_TRUE(ListenOn(stopping));
+    asio::io_context context;
+    counting_listener listener;
+    peer_mesh mesh(context, {.address = kHost, .port = kMeshPort}, listener);
+    mesh.Open(stopping_host);
+    steady_sender sender(context, mesh, stopping_host);
+    std::thread worker([&] {
+      sender.SendNext();
+      context.run();
+    });
+    EXPECT_TRUE(Eventually([&] { return stopping_listener.messages > 1000; }));
+    stopping.BeginClose();
+    EXPECT_TRUE(Eventually([&] { return !stopping.HasIncomingStreams(); }));
+    EXPECT_TRUE(Eventually([&] { return listener.link_downs == 1; }));
+    EXPECT_EQ(stopping_listener.messages, sender.sent);
+    sender.stopped = true;
+    mesh.Close();
+    context.stop();
+    worker.join();
+  }
+}
+
 }  // namespace
 }  // namespace parsleyyard
--- a/wire/codec_generated.h
+++ b/wire/codec_generated.h
@@ -21,7 +21,8 @@
                                  call_request,
                                  call_answer,
                                  call_attach,
-                                 call_cancel>;
+                                 call_cancel,
+                                 link_close>;
 
 template <class Archive>
 void serialize(Archive& archive, link_hello& value) {
@@ -125,6 +126,9 @@
   archive(value.id);
 }
 
+template <class Archive>
+void serialize(Archive& archive, link_close& value) {}
+
 }  // namespace parsleyyard
 
 #endif  // PARSLEYYARD_WIRE_CODEC_GENERATED_H_
