--- a/schema/generate.py
+++ b/schema/generate.py
@@ -89,8 +89,10 @@
              "// Any message that daemons send to each other.",
              "using any_message = std::variant<" + ", ".join(m["name"] for m in top_level) + ">;", ""]
     for message in schema["message"]:
+        # The parameters of a message without fields are not used.
+        archive, value = ("archive", "value") if message["fields"] else ("/*archive*/", "/*value*/")
         lines += ["template <class Archive>",
-                  f"void serialize(Archive& archive, {message['name']}& value) {{"]
+                  f"void serialize(Archive& {archive}, {message['name']}& {value}) {{"]
         lines += [codec_line(f, enums) for f in message["fields"]] + ["}", ""]
     return lines + ["}  // namespace parsleyyard", "", "#endif  // PARSLEYYARD_WIRE_CODEC_GENERATED_H_"]
 
--- a/wire/codec_generated.h
+++ b/wire/codec_generated.h
@@ -127,7 +127,7 @@
 }
 
 template <class Archive>
-void serialize(Archive& archive, link_close& value) {}
+void serialize(Archive& /*archive*/, link_close& /*value*/) {}
 
 }  // namespace parsleyyard
 
