--- /dev/null
+++ b/tests/slow_attempt_test.cc
@@ -0,0 +1,197 @@
+// Tests of the call sender: what happens to an attempt that is slow or whose
+// link is lost while another one is tried.
+
+#include "tests/call_fixtures.h"
+
+#include <algorithm>
+
+namespace parsleyyard::testing {
+namespace {
+
+class slow_attempt_fixture : public sender_fixture {
+ protected:
+  slow_attempt_fixture() { FillRetryBudget(100); }
+
+  // Sends an idempotent call and lets its attempt count as slow.
+  void BeginSlowCall() {
+    Begin(1, false);
+    clock_.now += milliseconds(450);
+    sender_->Tick();
+  }
+  // Answers the attempt that was sent as number `index`, counted from 0.
+  void AnswerAttempt(std::size_t index, call_answer answer) {
+    answer.id = sent_[index].second.id;
+    sender_->OnAnswer(sent_[index].first, std::move(answer));
+  }
+  // Refuses the latest attempt until no further one is sent.
+  void RefuseAllFurther(refusal_reason reason) {
+    for (std::size_t refused = 1; refused < sent_.size(); ++refused) {
+      AnswerAttempt(refused,
+                    {.outcome = call_outcome::kNotRun, .reason = reason});
+    }
+  }
+  std::size_t CallsSentTo(const host_address& host) const {
+    return static_cast<std::size_t>(std::count_if(
+        sent_.begin(), sent_.end(),
+        [&](const auto& attempt) { return attempt.first == host; }));
+  }
+};
+
+// Guards against 502 responses while the instance was at work.
+TEST_F(slow_attempt_fixture, RefusalsElsewhereDoNotEndAnAttemptThatRuns) {
+  BeginSlowCall();
+  ASSERT_EQ(sent_.size(), 2U);
+  RefuseAllFurther(refusal_reason::kLeaving);
+  EXPECT_TRUE(cancelled_.empty());
+  EXPECT_FALSE(results_.contains(1));
+  AnswerAttempt(0, {.outcome = call_outcome::kAnswer, .status = 200});
+  EXPECT_EQ(results_[1].status, 200);
+}
+
+TEST_F(slow_attempt_fixture, RefusalsElsewhereDoNotEndAnAttemptInADrain) {
+  sender_->BeginDrain();
+  BeginSlowCall();
+  RefuseAllFurther(refusal_reason::kLeaving);
+  EXPECT_TRUE(cancelled_.empty());
+  EXPECT_FALSE(results_.contains(1));
+  AnswerAttempt(0, {.outcome = call_outcome::kAnswer, .status = 200});
+  EXPECT_EQ(results_[1].status, 200);
+}
+
+TEST_F(slow_attempt_fixture, FirstResponseCancelsTheOtherAttempt) {
+  BeginSlowCall();
+  ASSERT_EQ(sent_.size(), 2U);
+  AnswerAttempt(1, {.outcome = call_outcome::kAnswer, .status = 200});
+  EXPECT_EQ(results_[1].status, 200);
+  ASSERT_EQ(cancelled_.size(), 1U);
+  EXPECT_EQ(cancelled_[0].first, sent_[0].first);
+  EXPECT_EQ(cancelled_[0].second.id, sent_[0].second.id);
+  results_.clear();
+  AnswerAttempt(0, {.outcome = call_outcome::kAnswer, .status = 200});
+  EXPECT_TRUE(results_.empty()) << "a call has one result";
+}
+
+TEST_F(slow_attempt_fixture, ResponseOfTheSlowAttemptCancelsTheOther) {
+  BeginSlowCall();
+  ASSERT_EQ(sent_.size(), 2U);
+  AnswerAttempt(0, {.outcome = call_outcome::kAnswer, .status = 200});
+  EXPECT_EQ(results_[1].status, 200);
+  ASSERT_EQ(cancelled_.size(), 1U);
+  EXPECT_EQ(cancelled_[0].second.id, sent_[1].second.id);
+}
+
+TEST_F(slow_attempt_fixture, ErrorResponseDoesNotEndAnAttemptThatRuns) {
+  BeginSlowCall();
+  ASSERT_EQ(sent_.size(), 2U);
+  AnswerAttempt(1, {.outcome = call_outcome::kAnswer,
+                    .reached_instance = true,
+                    .status = 500});
+  EXPECT_FALSE(results_.contains(1));
+  AnswerAttempt(0, {.outcome = call_outcome::kAnswer, .status = 200});
+  EXPECT_EQ(results_[1].status, 200);
+}
+
+TEST_F(slow_attempt_fixture, DeadlineAndCallerCancelBothAttempts) {
+  BeginSlowCall();
+  sender_->Cancel(1);
+  EXPECT_EQ(cancelled_.size(), 2U);
+  cancelled_.clear();
+  sent_.clear();
+  Begin(2, false);
+  clock_.now += milliseconds(450);
+  sender_->Tick();
+  ASSERT_EQ(sent_.size(), 2U);
+  clock_.now += milliseconds(550);
+  sender_->Tick();
+  EXPECT_EQ(cancelled_.size(), 2U);
+  EXPECT_EQ(results_[2].reason, refusal_reason::kTimeout);
+  EXPECT_EQ(results_[2].outcome, call_outcome::kUnknown);
+  EXPECT_EQ(sender_->in_flight(), 0U);
+}
+
+TEST_F(slow_attempt_fixture, TwoAttemptsReachNoMoreInstancesThanAllowed) {
+  BeginSlowCall();
+  ASSERT_EQ(sent_.size(), 2U);
+  AnswerAttempt(1, {.outcome = call_outcome::kNotRun,
+                    .reason = refusal_reason::kUpstreamRefused,
+                    .reached_instance = true});
+  EXPECT_EQ(sent_.size(), 2U) << "two instances were reached";
+  EXPECT_FALSE(results_.contains(1));
+  AnswerAttempt(0, {.outcome = call_outcome::kUnknown,
+                    .reason = refusal_reason::kUpstreamLost,
+                    .reached_instance = true});
+  EXPECT_EQ(sent_.size(), 2U);
+  EXPECT_EQ(results_[1].outcome, call_outcome::kUnknown);
+}
+
+TEST_F(slow_attempt_fixture, ResultIsUnknownIfTheSlowAttemptMayHaveRun) {
+  BeginSlowCall();
+  ASSERT_EQ(sent_.size(), 2U);
+  AnswerAttempt(0, {.outcome = call_outcome::kUnknown,
+                    .reason = refusal_reason::kUpstreamLost,
+                    .reached_instance = true});
+  EXPECT_FALSE(results_.contains(1)) << "the second attempt goes on";
+  RefuseAllFurther(refusal_reason::kOverloaded);
+  EXPECT_EQ(results_[1].outcome, call_outcome::kUnknown);
+}
+
+// Guards against 502 responses while the instance was at work: the link was
+// lost, and the outcome counted as unknown.
+TEST_F(slow_attempt_fixture, LostLinkDoesNotEndAnAttemptThatRuns) {
+  Begin(1, false);
+  const host_address target = sent_[0].first;
+  sender_->OnLinkDown(target);
+  RefuseAllFurther(refusal_reason::kOverloaded);
+  EXPECT_FALSE(results_.contains(1));
+  clock_.now += milliseconds(60);
+  sender_->Tick();
+  EXPECT_EQ(opened_, std::vector<host_address>{target});
+  sender_->OnLinkUp(target, 5);
+  ASSERT_EQ(attached_.size(), 1U);
+  EXPECT_EQ(attached_[0].second.id, sent_[0].second.id);
+  AnswerAttempt(0, {.outcome = call_outcome::kAnswer, .status = 200});
+  EXPECT_EQ(results_[1].status, 200);
+}
+
+TEST_F(slow_attempt_fixture, LostLinkOfAnIdempotentCallIsAwaitedForAMoment) {
+  Begin(1, false);
+  sender_->OnLinkDown(sent_[0].first);
+  RefuseAllFurther(refusal_reason::kOverloaded);
+  clock_.now += milliseconds(200);
+  sender_->Tick();
+  EXPECT_EQ(results_[1].outcome, call_outcome::kUnknown);
+  EXPECT_EQ(results_[1].reason, refusal_reason::kLinkLost);
+}
+
+TEST_F(slow_attempt_fixture, RestartedTargetEndsAnAttemptWithoutLink) {
+  Begin(1, false);
+  const host_address target = sent_[0].first;
+  sender_->OnLinkDown(target);
+  RefuseAllFurther(refusal_reason::kOverloaded);
+  sender_->OnLinkUp(target, 6);
+  EXPECT_EQ(results_[1].outcome, call_outcome::kUnknown);
+}
+
+// Guards against calls that are refused again and again by hosts that stop.
+TEST_F(slow_attempt_fixture, HostThatRefusedAsLeavingGetsNoCallUntilItStarts) {
+  Begin(1);
+  const host_address leaving = sent_[0].first;
+  Refuse(refusal_reason::kLeaving);
+  Answer({.outcome = call_outcome::kAnswer, .status = 200});
+  sent_.clear();
+  for (std::uint64_t call = 2; call < 8; ++call) {
+    clock_.now += seconds(1);
+    Begin(call);
+    Refuse(refusal_reason::kUpstreamRefused);
+    Answer({.outcome = call_outcome::kAnswer, .status = 200});
+  }
+  EXPECT_EQ(CallsSentTo(leaving), 0U);
+  sent_.clear();
+  sender_->OnLinkDown(leaving);
+  clock_.now += seconds(1);
+  Begin(9);
+  EXPECT_EQ(sent_[0].first, leaving) << "it may have started again";
+}
+
+}  // namespace
+}  // namespace parsleyyard::testing
