Try another instance beside a slow attempt, not in its place

Cause: an attempt in hand was released before another one was accepted. The check that a target exists does not mean that it accepts: a host that stops refuses all calls for seconds, and the sender chose it again 1.5 s after such a refusal. The same trade was made when the link to the target was lost.

Change: a call has up to two attempts in progress. A slow one goes on beside the next, the first response is the result, and the other attempt is cancelled then. If the link is lost, the sender attaches to the attempt and tries another instance meanwhile; an idempotent call waits 150 ms for the link, a host that is gone costs no more. A host that refused as leaving gets no call until the link to it is lost. The exception for a draining daemon has become needless.

Weighed: a message 'accepted' from the target, upon which the first is given up; it costs a message for each call and still ends a run that may be about to answer. Both attempts count against max-attempts and the retry budget as before.

--- a/calls/call_sender.cc
+++ b/calls/call_sender.cc
@@ -9,10 +9,6 @@
 
 namespace {
 
-// If the link to a target takes longer to open, the call goes to another
-// daemon.
-constexpr duration kConnectTimeout = std::chrono::milliseconds(150);
-
 // Returns true if the status counts as a failure of the instance, after which
 // an idempotent call may be retried.
 bool IsInstanceFailure(std::uint16_t status) {
@@ -47,7 +43,7 @@
                                    refusal_reason reason) const {
   listener_.OnCallEvent({.event = event,
                          .request = call.message.request_id,
-                         .instance = call.instance,
+                         .instance = call.current.instance,
                          .reason = reason,
                          .attempts = call.attempts,
                          .left = call.deadline - clock_.Now()});
@@ -71,18 +67,19 @@
                           placement_.HasEligible(*view, call.plan);
     return Refuse(call, all_full ? refusal_reason::kOverloaded : last_refusal);
   }
+  call_attempt& attempt = call.current;
   calls_.SetTarget(call, chosen->host);
-  call.instance = chosen->instance;
+  attempt.instance = chosen->instance;
   call.tried_hosts.insert(chosen->host);
   ++call.attempts;
-  call.connect_deadline = now + kConnectTimeout;
-  placement_.OnSent(call.target_host);
-  call.life_cycle.Process(call_event::kTargetChosen);
-  const auto incarnation = link_.PeerIncarnation(call.target_host);
+  attempt.connect_deadline = now + kConnectTimeout;
+  placement_.OnSent(attempt.target_host);
+  attempt.life_cycle.Process(call_event::kTargetChosen);
+  const auto incarnation = link_.PeerIncarnation(attempt.target_host);
   if (incarnation) {
     SendAttempt(call, *incarnation);
   } else {
-    link_.Open(call.target_host);
+    link_.Open(attempt.target_host);
   }
 }
 
@@ -93,31 +90,43 @@
   if (now + kMinAttemptTime >= call.deadline) {
     return OnNotRun(call, refusal_reason::kDeadlinePassed, false);
   }
-  if (!placement_.IsAllowed(*view_.Current(), call.plan, call.target_host)) {
+  call_attempt& attempt = call.current;
+  if (!placement_.IsAllowed(*view_.Current(), call.plan, attempt.target_host)) {
     return OnNotRun(call, refusal_reason::kNoUpstream, false);
   }
   calls_.AssignSequence(call);
-  call.target_incarnation = incarnation;
-  call.silence_deadline =
+  attempt.target_incarnation = incarnation;
+  attempt.silence_deadline =
       now +
       kSilenceFactor * placement_.MeanServiceTime(*view_.Current(), call.plan);
-  call.life_cycle.Process(call_event::kAttemptSent);
+  attempt.life_cycle.Process(call_event::kAttemptSent);
   ReportEvent(call, "sent");
-  link_.SendCall(call.target_host,
+  link_.SendCall(attempt.target_host,
                  std::make_shared<const call_request>(
                      BuildAttempt(call, options_.incarnation, now)));
 }
 
-void sender_internals::ReleaseTarget(pending_call& call) {
-  placement_.OnEnded(call.target_host);
-  calls_.ReleaseTarget(call);
+void sender_internals::ReleaseTarget(const pending_call& call,
+                                     const call_attempt& attempt) {
+  placement_.OnEnded(attempt.target_host);
+  calls_.ReleaseTarget(call, attempt);
+}
+
+void sender_internals::CancelAttempt(const call_attempt& attempt) {
+  if (attempt.life_cycle.state() == call_state::kSent &&
+      link_.PeerIncarnation(attempt.target_host)) {
+    link_.SendCancel(
+        attempt.target_host,
+        {.id = {.origin = options_.incarnation, .sequence = attempt.sequence}});
+  }
 }
 
-void sender_internals::CancelAttempt(const pending_call& call) {
-  if (call.life_cycle.state() == call_state::kSent &&
-      link_.PeerIncarnation(call.target_host)) {
-    link_.SendCancel(call.target_host, {.id = {.origin = options_.incarnation,
-                                               .sequence = call.sequence}});
+// Cancels the second attempt in progress, if there is one.
+void sender_internals::EndOther(pending_call& call) {
+  if (call.other) {
+    CancelAttempt(*call.other);
+    ReleaseTarget(call, *call.other);
+    call.other.reset();
   }
 }
 
@@ -127,8 +136,9 @@
     return;
   }
   ReportEvent(*call, "cancelled", refusal_reason::kCancelled);
-  CancelAttempt(*call);
-  ReleaseTarget(*call);
+  EndOther(*call);
+  CancelAttempt(call->current);
+  ReleaseTarget(*call, call->current);
   calls_.Remove(handle);
 }
 
@@ -136,44 +146,42 @@
                                 std::uint64_t incarnation) {
   for (const std::uint64_t handle : calls_.HandlesAt(peer)) {
     pending_call* found = calls_.Find(handle);
-    if (found == nullptr) {
+    if (found == nullptr || !SelectAttempt(*found, peer)) {
       continue;
     }
     pending_call& call = *found;
-    if (call.life_cycle.state() == call_state::kConnecting) {
+    call_attempt& attempt = call.current;
+    if (attempt.life_cycle.state() == call_state::kConnecting) {
       SendAttempt(call, incarnation);
-    } else if (call.life_cycle.state() == call_state::kAttaching &&
-               incarnation == call.target_incarnation) {
-      call.life_cycle.Process(call_event::kAttached);
+    } else if (attempt.life_cycle.state() == call_state::kAttaching &&
+               incarnation == attempt.target_incarnation) {
+      attempt.life_cycle.Process(call_event::kAttached);
       const duration left =
           std::max(call.deadline - clock_.Now(), duration::zero());
       link_.SendAttach(
           peer,
-          {.id = {.origin = options_.incarnation, .sequence = call.sequence},
+          {.id = {.origin = options_.incarnation, .sequence = attempt.sequence},
            .deadline_ms = static_cast<std::uint32_t>(left.count() / 1000)});
-    } else if (call.life_cycle.state() == call_state::kAttaching) {
+    } else if (attempt.life_cycle.state() == call_state::kAttaching) {
       OnUnknownOutcome(call, refusal_reason::kWrongIncarnation);
     }
   }
 }
 
 void sender_internals::OnLinkDown(const host_address& peer) {
+  placement_.OnLinkDown(peer);
   for (const std::uint64_t handle : calls_.HandlesAt(peer)) {
     pending_call* found = calls_.Find(handle);
-    if (found == nullptr) {
+    if (found == nullptr || !SelectAttempt(*found, peer)) {
       continue;
     }
-    pending_call& call = *found;
-    const call_state state = call.life_cycle.state();
+    const call_state state = found->current.life_cycle.state();
     const bool resend_without_attach =
         state == call_state::kSent && !options_.attach;
     if (state == call_state::kConnecting || resend_without_attach) {
-      OnNotRun(call, refusal_reason::kLinkLost, false);
-    } else if (state == call_state::kSent && !call.plan.never_repeat) {
-      OnUnknownOutcome(call, refusal_reason::kLinkLost);
+      OnNotRun(*found, refusal_reason::kLinkLost, false);
     } else {
-      call.life_cycle.Process(call_event::kLinkLost);
-      call.next_reconnect = clock_.Now() + options_.reconnect_delay;
+      OnLostLink(*found);
     }
   }
 }
@@ -188,7 +196,8 @@
   }
   pending_call& call = *found;
   placement_.OnLoad(from, message.load, call.plan.route, clock_.Now());
-  if (call.target_host != from) {
+  if (!SelectAttempt(call, message.id.sequence) ||
+      call.current.target_host != from) {
     return;
   }
   if (message.outcome == call_outcome::kNotRun) {
@@ -204,31 +213,44 @@
   if (IsInstanceFailure(message.status) && !call.plan.never_repeat) {
     return OnInstanceFailure(call, std::move(result));
   }
-  placement_.OnOutcome(call.target_host, IsInstanceFailure(message.status));
-  ReleaseTarget(call);
+  placement_.OnOutcome(from, IsInstanceFailure(message.status));
+  ReleaseTarget(call, call.current);
+  EndOther(call);
   Finish(call, std::move(result));
 }
 
+void sender_internals::TickAttempt(pending_call& call, instant now) {
+  call_attempt& attempt = call.current;
+  const call_state state = attempt.life_cycle.state();
+  if (state == call_state::kConnecting && now >= attempt.connect_deadline) {
+    OnNotRun(call, refusal_reason::kLinkLost, false);
+  } else if (state == call_state::kAttaching &&
+             now >= attempt.attach_deadline) {
+    OnUnknownOutcome(call, refusal_reason::kLinkLost);
+  } else if (state == call_state::kAttaching && now >= attempt.next_reconnect) {
+    attempt.next_reconnect = now + options_.reconnect_delay;
+    link_.Open(attempt.target_host);
+  } else if (state == call_state::kSent && !call.plan.never_repeat &&
+             now >= attempt.silence_deadline) {
+    OnSlowAttempt(call);
+  }
+}
+
 void sender_internals::Tick() {
   const instant now = clock_.Now();
   for (const std::uint64_t handle : calls_.Handles()) {
-    pending_call* found = calls_.Find(handle);
-    if (found == nullptr) {
+    pending_call* call = calls_.Find(handle);
+    if (call != nullptr && now >= call->deadline) {
+      OnDeadline(*call);
       continue;
     }
-    pending_call& call = *found;
-    const call_state state = call.life_cycle.state();
-    if (now >= call.deadline) {
-      OnDeadline(call);
-    } else if (state == call_state::kConnecting &&
-               now >= call.connect_deadline) {
-      OnNotRun(call, refusal_reason::kLinkLost, false);
-    } else if (state == call_state::kAttaching && now >= call.next_reconnect) {
-      call.next_reconnect = now + options_.reconnect_delay;
-      link_.Open(call.target_host);
-    } else if (state == call_state::kSent && !call.plan.never_repeat &&
-               now >= call.silence_deadline) {
-      OnSilentAttempt(call);
+    if (call != nullptr) {
+      TickAttempt(*call, now);
+      call = calls_.Find(handle);
+    }
+    if (call != nullptr && call->other) {
+      std::swap(call->current, *call->other);
+      TickAttempt(*call, now);
     }
   }
 }
@@ -272,9 +294,6 @@
 void call_sender::SetRetryLimits(const retry_limits& limits) {
   internals_->SetRetryLimits(limits);
 }
-void call_sender::BeginDrain() {
-  internals_->BeginDrain();
-}
 std::size_t call_sender::in_flight() const {
   return internals_->size();
 }
--- a/calls/calls.h
+++ b/calls/calls.h
@@ -208,9 +208,11 @@
 class sender_internals;
 
 // Places calls at instances and retries them. A never-repeat call is retried
-// only if the last attempt is proved not to have run. If the link is lost
-// during a never-repeat call, the sender attaches to the attempt over a new
-// link to learn its outcome. Call Tick() every 10 to 20 ms.
+// only if the last attempt is proved not to have run. If the link is lost, the
+// sender attaches to the attempt over a new link to learn its outcome. If an
+// attempt of an idempotent call is slow or its link is lost, another one runs
+// beside it, and the first response is the result: no attempt is given up for
+// one that may be refused. Call Tick() every 10 to 20 ms.
 class call_sender {
  public:
   call_sender(sender_options options,
@@ -236,9 +238,6 @@
   void OnLinkDown(const host_address& peer);
   void OnAnswer(const host_address& from, call_answer message);
   void SetRetryLimits(const retry_limits& limits);
-  // From now on a slow attempt is kept to its end: a daemon that stops must not
-  // give up what its callers wait for.
-  void BeginDrain();
   // Returns the number of calls that have no result yet.
   std::size_t in_flight() const;
 
--- a/calls/pending_calls.cc
+++ b/calls/pending_calls.cc
@@ -1,16 +1,31 @@
 #include "calls/pending_calls.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace parsleyyard {
 
+bool SelectAttempt(pending_call& call, std::uint64_t sequence) {
+  if (call.other && call.other->sequence == sequence) {
+    std::swap(call.current, *call.other);
+  }
+  return call.current.sequence == sequence;
+}
+
+bool SelectAttempt(pending_call& call, const host_address& host) {
+  if (call.other && call.other->target_host == host) {
+    std::swap(call.current, *call.other);
+  }
+  return call.current.target_host == host;
+}
+
 call_request BuildAttempt(const pending_call& call,
                           std::uint64_t origin,
                           instant now) {
   call_request message = call.message;
-  message.id = {.origin = origin, .sequence = call.sequence};
-  message.target_incarnation = call.target_incarnation;
-  message.instance = call.instance;
+  message.id = {.origin = origin, .sequence = call.current.sequence};
+  message.target_incarnation = call.current.target_incarnation;
+  message.instance = call.current.instance;
   message.service = call.plan.service;
   message.route = call.plan.route;
   message.priority = call.plan.priority;
@@ -60,18 +75,19 @@
 }
 
 void pending_calls::SetTarget(pending_call& call, const host_address& host) {
-  call.target_host = host;
+  call.current.target_host = host;
   handles_by_target_[host].insert(call.handle);
 }
 
 void pending_calls::AssignSequence(pending_call& call) {
-  call.sequence = ++last_sequence_;
-  handle_by_sequence_[call.sequence] = call.handle;
+  call.current.sequence = ++last_sequence_;
+  handle_by_sequence_[call.current.sequence] = call.handle;
 }
 
-void pending_calls::ReleaseTarget(const pending_call& call) {
-  handles_by_target_[call.target_host].erase(call.handle);
-  handle_by_sequence_.erase(call.sequence);
+void pending_calls::ReleaseTarget(const pending_call& call,
+                                  const call_attempt& attempt) {
+  handles_by_target_[attempt.target_host].erase(call.handle);
+  handle_by_sequence_.erase(attempt.sequence);
 }
 
 void pending_calls::Remove(std::uint64_t handle) {
--- a/calls/pending_calls.h
+++ b/calls/pending_calls.h
@@ -1,7 +1,7 @@
 // The calls of a sender that have no result yet. Internal to calls/.
 //
-// Finds a call by its handle, by the number of its current attempt and by the
-// host that the attempt goes to.
+// Finds a call by its handle, by the number of an attempt in progress and by
+// the host that such an attempt goes to.
 
 #ifndef PARSLEYYARD_CALLS_PENDING_CALLS_H_
 #define PARSLEYYARD_CALLS_PENDING_CALLS_H_
@@ -16,29 +16,44 @@
 
 namespace parsleyyard {
 
+// One attempt of a call at an instance.
+struct call_attempt {
+  call_life_cycle life_cycle;
+  host_address target_host;
+  std::string instance;
+  std::uint64_t target_incarnation = 0;
+  std::uint64_t sequence = 0;  // number of the attempt; 0: not sent yet
+  instant connect_deadline{};  // latest time for the link to open
+  instant silence_deadline{};  // from then on, the attempt counts as slow
+  instant next_reconnect{};    // time of the next try to open a lost link
+  instant attach_deadline{};   // latest time for a lost link to be back
+  bool slow = false;           // another attempt was begun beside this one
+};
+
 struct pending_call {
   std::uint64_t handle = 0;
   call_plan plan;
   call_request message;
-  call_life_cycle life_cycle;
   instant deadline{};
   instant objective{};
   std::set<host_address> tried_hosts;
   std::uint32_t attempts = 0;  // targets chosen so far
-  // Number of instances that the call may have reached.
+  // Number of instances that the ended attempts may have reached.
   std::uint32_t reached_instances = 0;
-  host_address target_host;
-  std::string instance;
-  std::uint64_t target_incarnation = 0;
-  std::uint64_t sequence = 0;  // number of the last sent attempt; 0: none yet
-  instant connect_deadline{};  // latest time for the link to open
-  instant silence_deadline{};  // from then on, the attempt counts as silent
-  instant next_reconnect{};    // time of the next try to open the link
-  bool may_have_run = false;   // an earlier attempt may have run
+  call_attempt current;  // the attempt that the latest event was about
+  // A second attempt of an idempotent call in progress. The two go to different
+  // hosts.
+  std::optional<call_attempt> other;
+  bool may_have_run = false;  // an ended attempt may have run
   // Error response of an instance, returned if no later attempt succeeds.
   std::optional<call_result> failed_result;
 };
 
+// Makes the attempt with that number, or at that host, the current one. False
+// if no attempt in progress is.
+bool SelectAttempt(pending_call& call, std::uint64_t sequence);
+bool SelectAttempt(pending_call& call, const host_address& host);
+
 // Returns the message of the current attempt. `origin` is the incarnation of
 // the sender.
 call_request BuildAttempt(const pending_call& call,
@@ -50,27 +65,27 @@
   pending_call& Add(std::uint64_t handle);
   // Returns null if the call has ended. References stay valid until Remove().
   pending_call* Find(std::uint64_t handle);
-  // Returns the call whose current attempt has that number, or null.
+  // Returns the call with an attempt of that number in progress, or null.
   pending_call* FindBySequence(std::uint64_t sequence);
   // Returns the handles in ascending order.
   std::vector<std::uint64_t> Handles() const;
-  // Returns the handles of the calls whose attempt goes to that host, in
-  // ascending order.
+  // Returns the handles of the calls with an attempt at that host in progress,
+  // in ascending order.
   std::vector<std::uint64_t> HandlesAt(const host_address& host) const;
   std::size_t size() const { return calls_.size(); }
 
-  // Begins an attempt at that host.
+  // Begins the current attempt at that host.
   void SetTarget(pending_call& call, const host_address& host);
-  // Gives the attempt a number that no earlier attempt had.
+  // Gives the current attempt a number that no earlier attempt had.
   void AssignSequence(pending_call& call);
-  // Ends the attempt, which is no longer found by its number or host.
-  void ReleaseTarget(const pending_call& call);
-  // The attempt must have been released.
+  // Ends an attempt, which is no longer found by its number or host.
+  void ReleaseTarget(const pending_call& call, const call_attempt& attempt);
+  // All attempts of the call must have been released.
   void Remove(std::uint64_t handle);
 
  private:
   std::unordered_map<std::uint64_t, pending_call> calls_;  // by handle
-  // Handle of the call, by the sequence of its current attempt.
+  // Handle of the call, by the number of the attempt.
   std::unordered_map<std::uint64_t, std::uint64_t> handle_by_sequence_;
   std::unordered_map<host_address, std::set<std::uint64_t>> handles_by_target_;
   std::uint64_t last_sequence_ = 0;
--- a/calls/placement.cc
+++ b/calls/placement.cc
@@ -87,15 +87,30 @@
   }
 }
 
-bool placement::IsFull(const host_address& host,
-                       const std::string& route,
-                       instant now) const {
-  const auto load = loads_.find(host);
-  if (load == loads_.end()) {
+void placement::OnLeaving(const host_address& host) {
+  loads_[host].leaving = true;
+}
+
+void placement::OnLinkDown(const host_address& host) {
+  host_load& load = loads_[host];
+  load.leaving = false;
+  load.report.leaving = false;
+}
+
+// Returns true if the host is known to refuse a call of that route: it leaves
+// or is full.
+bool placement::RefusesCalls(const host_address& host,
+                             const std::string& route,
+                             instant now) const {
+  const auto found = loads_.find(host);
+  if (found == loads_.end()) {
     return false;
   }
-  const auto until = load->second.full_until_by_route.find(route);
-  return until != load->second.full_until_by_route.end() && now < until->second;
+  const host_load& load = found->second;
+  const auto full_until = load.full_until_by_route.find(route);
+  const bool full =
+      full_until != load.full_until_by_route.end() && now < full_until->second;
+  return full || load.leaving;
 }
 
 bool placement::IsEligible(const snapshot& view,
@@ -188,7 +203,7 @@
   const double failure_share = std::max(load.failure_share, rejected_share);
   latency +=
       std::chrono::duration_cast<duration>(kFailurePenalty * failure_share);
-  if (load.avoid_until > now || (current && load.report.leaving)) {
+  if (load.avoid_until > now || load.report.leaving) {
     latency += kFailurePenalty;
   }
   return latency;
@@ -207,7 +222,7 @@
   }
   for (const known_instance* target : instances->second) {
     const host_address& host = target->registration.host;
-    if (tried_hosts.contains(host) || IsFull(host, plan.route, now) ||
+    if (tried_hosts.contains(host) || RefusesCalls(host, plan.route, now) ||
         !IsEligible(view, plan, *target)) {
       continue;
     }
--- a/calls/placement.h
+++ b/calls/placement.h
@@ -40,7 +40,8 @@
 
   // Returns the nearest instance that is expected to answer within the
   // objective, else the one that is expected to answer first. Skips the hosts
-  // in `tried_hosts` and those that are full. Empty if no instance is left.
+  // in `tried_hosts` and those that are full or leave. Empty if no instance is
+  // left.
   std::optional<chosen_instance> Choose(
       const snapshot& view,
       const call_plan& plan,
@@ -71,6 +72,11 @@
   // Records that the host refused a call of that route because it is full. It
   // gets no other one until some of its calls have ended.
   void OnFull(const host_address& host, const std::string& route, instant now);
+  // Records that the host refused a call because its daemon stops. It gets no
+  // other one until the link to it is lost.
+  void OnLeaving(const host_address& host);
+  // Records that the link to the host was lost. Its daemon may start again.
+  void OnLinkDown(const host_address& host);
   // Adds a penalty to the host until the given time, so that calls go elsewhere
   // if they can.
   void Avoid(const host_address& host, instant until);
@@ -90,6 +96,7 @@
     instant reported_at{};
     double failure_share = 0;  // moving average, 0 to 1
     instant avoid_until{};
+    bool leaving = false;  // refuses all calls until its daemon has restarted
     std::map<std::string, instant> full_until_by_route;
   };
   struct candidate {
@@ -101,9 +108,9 @@
   bool IsEligible(const snapshot& view,
                   const call_plan& plan,
                   const known_instance& target) const;
-  bool IsFull(const host_address& host,
-              const std::string& route,
-              instant now) const;
+  bool RefusesCalls(const host_address& host,
+                    const std::string& route,
+                    instant now) const;
   using candidates = std::array<candidate, kTiers>;
   candidates FindBestByTier(const snapshot& view,
                             const call_plan& plan,
--- a/calls/sender_internals.h
+++ b/calls/sender_internals.h
@@ -17,7 +17,11 @@
 // could not be answered in time.
 inline constexpr duration kMinAttemptTime = std::chrono::milliseconds(20);
 
-// An attempt counts as silent after this many times the mean service time.
+// If the link to a target takes longer to open, the call goes to another
+// daemon.
+inline constexpr duration kConnectTimeout = std::chrono::milliseconds(150);
+
+// An attempt counts as slow after this many times the mean service time.
 inline constexpr int kSilenceFactor = 4;
 
 class sender_internals {
@@ -46,13 +50,12 @@
   void OnLinkDown(const host_address& peer);
   void OnAnswer(const host_address& from, call_answer message);
   void SetRetryLimits(const retry_limits& limits) { budget_.SetLimits(limits); }
-  void BeginDrain() { draining_ = true; }
   std::size_t size() const { return calls_.size(); }
 
  private:
   void StartAttempt(pending_call& call, refusal_reason last_refusal);
   void SendAttempt(pending_call& call, std::uint64_t incarnation);
-  void ReleaseTarget(pending_call& call);
+  void ReleaseTarget(const pending_call& call, const call_attempt& attempt);
   void OnNotRun(pending_call& call,
                 refusal_reason reason,
                 bool reached_instance);
@@ -61,10 +64,17 @@
                                 refusal_reason reason);
   void OnUnknownOutcome(pending_call& call, refusal_reason reason);
   void OnInstanceFailure(pending_call& call, call_result result);
-  void OnSilentAttempt(pending_call& call);
+  void OnSlowAttempt(pending_call& call);
+  void OnLostLink(pending_call& call);
+  void TryStartBeside(pending_call& call,
+                      std::string_view event,
+                      refusal_reason reason);
+  void ContinueOther(pending_call& call);
+  void EndOther(pending_call& call);
   void OnDeadline(pending_call& call);
+  void TickAttempt(pending_call& call, instant now);
   bool TryAcquireRetry(const pending_call& call, retry_kind kind);
-  void CancelAttempt(const pending_call& call);
+  void CancelAttempt(const call_attempt& attempt);
   void Finish(pending_call& call, call_result result);
   void Refuse(pending_call& call, refusal_reason reason);
   duration DrawRetryAfter(const pending_call& call);
@@ -83,7 +93,6 @@
   placement placement_;
   retry_budget budget_;
   pending_calls calls_;
-  bool draining_ = false;
 };
 
 }  // namespace parsleyyard
--- a/calls/sender_outcomes.cc
+++ b/calls/sender_outcomes.cc
@@ -4,6 +4,7 @@
 #include "calls/sender_internals.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace parsleyyard {
 
@@ -12,8 +13,6 @@
 // Daemons that one call is sent to. More attempts would only keep the caller
 // waiting.
 constexpr std::uint32_t kMaxAttempts = 6;
-// Time for which calls avoid a host that drains.
-constexpr duration kDrainingAvoidTime = std::chrono::milliseconds(1500);
 // Time for which calls avoid a host after an attempt there that has not run,
 // for any other reason than draining or overload.
 constexpr duration kFailureAvoidTime = std::chrono::milliseconds(400);
@@ -27,13 +26,19 @@
   return reason != refusal_reason::kDeadlinePassed;
 }
 
+// Number of instances that the call may have reached, but for its current
+// attempt.
+std::uint32_t ReachedInstances(const pending_call& call) {
+  return call.reached_instances + (call.other ? 1 : 0);
+}
+
 }  // namespace
 
 // Takes a retry from the budget, if the limits of the call allow one. The
 // platform counts each request that reaches a further instance as a retry.
 bool sender_internals::TryAcquireRetry(const pending_call& call,
                                        retry_kind kind) {
-  return call.reached_instances < call.plan.max_attempts &&
+  return ReachedInstances(call) < call.plan.max_attempts &&
          call.attempts < kMaxAttempts &&
          clock_.Now() + kMinAttemptTime < call.deadline &&
          budget_.TryAcquire(call.plan.service, kind, DaemonCount(),
@@ -45,23 +50,27 @@
 void sender_internals::OnNotRun(pending_call& call,
                                 refusal_reason reason,
                                 bool reached_instance) {
-  ReleaseTarget(call);
+  const host_address host = call.current.target_host;
   const instant now = clock_.Now();
+  ReleaseTarget(call, call.current);
   if (reason == refusal_reason::kLeaving) {
-    placement_.Avoid(call.target_host, now + kDrainingAvoidTime);
-  } else if (reason != refusal_reason::kOverloaded) {
-    placement_.Avoid(call.target_host, now + kFailureAvoidTime);
+    placement_.OnLeaving(host);
+  } else if (reason == refusal_reason::kOverloaded) {
+    placement_.OnFull(host, call.plan.route, now);
+  } else {
+    placement_.Avoid(host, now + kFailureAvoidTime);
   }
-  if (reason == refusal_reason::kOverloaded) {
-    placement_.OnFull(call.target_host, call.plan.route, now);
-  }
-  placement_.OnOutcome(call.target_host, reached_instance);
-  call.life_cycle.Process(call_event::kAttemptEnded);
+  placement_.OnOutcome(host, reached_instance);
+  call.current.life_cycle.Process(call_event::kAttemptEnded);
   ReportEvent(call, "refused by target", reason);
+  call.reached_instances += reached_instance ? 1 : 0;
+  if (call.other && !call.other->slow) {
+    return ContinueOther(call);
+  }
   if (reached_instance) {
-    ++call.reached_instances;
-    const retry_kind kind =
-        call.may_have_run ? retry_kind::kRerun : retry_kind::kRejected;
+    const retry_kind kind = call.may_have_run || call.other
+                                ? retry_kind::kRerun
+                                : retry_kind::kRejected;
     if (!TryAcquireRetry(call, kind)) {
       return Refuse(call, reason);
     }
@@ -75,11 +84,11 @@
 void sender_internals::EndAttemptThatMayHaveRun(pending_call& call,
                                                 std::string_view event,
                                                 refusal_reason reason) {
-  ReleaseTarget(call);
-  placement_.OnOutcome(call.target_host, true);
+  ReleaseTarget(call, call.current);
+  placement_.OnOutcome(call.current.target_host, true);
   call.may_have_run = true;
   ++call.reached_instances;
-  call.life_cycle.Process(call_event::kAttemptEnded);
+  call.current.life_cycle.Process(call_event::kAttemptEnded);
   ReportEvent(call, event, reason);
 }
 
@@ -87,6 +96,9 @@
 void sender_internals::OnUnknownOutcome(pending_call& call,
                                         refusal_reason reason) {
   EndAttemptThatMayHaveRun(call, "outcome unknown", reason);
+  if (call.other && !call.other->slow) {
+    return ContinueOther(call);
+  }
   if (call.plan.never_repeat || !TryAcquireRetry(call, retry_kind::kRerun)) {
     return Refuse(call, reason);
   }
@@ -100,8 +112,11 @@
   call.failed_result = std::move(result);
   EndAttemptThatMayHaveRun(call, "error response from instance",
                            refusal_reason::kNone);
+  if (call.other && !call.other->slow) {
+    return ContinueOther(call);
+  }
   if (!TryAcquireRetry(call, retry_kind::kRerun)) {
-    return Finish(call, std::move(*call.failed_result));
+    return Refuse(call, refusal_reason::kNone);
   }
   StartAttempt(call, refusal_reason::kNoUpstream);
 }
@@ -115,10 +130,19 @@
   return random_.Jitter(min_delay, 100);
 }
 
-// Ends a call that got no answer. The outcome is "not run" only if no attempt
-// may have run. An error response of an instance is passed on instead, if there
-// is one.
+// Waits for the other attempt alone, after the current one has ended.
+void sender_internals::ContinueOther(pending_call& call) {
+  call.current = std::move(*call.other);
+  call.other.reset();
+}
+
+// Ends a call that got no answer, unless another attempt is in progress. The
+// outcome is "not run" only if no attempt may have run. An error response of an
+// instance is passed on instead, if there is one.
 void sender_internals::Refuse(pending_call& call, refusal_reason reason) {
+  if (call.other) {
+    return ContinueOther(call);
+  }
   if (call.failed_result) {
     return Finish(call, std::move(*call.failed_result));
   }
@@ -130,51 +154,86 @@
 }
 
 void sender_internals::Finish(pending_call& call, call_result result) {
-  call.life_cycle.Process(call_event::kFinished);
+  call.current.life_cycle.Process(call_event::kFinished);
   result.attempts = call.attempts;
-  result.instance = call.instance;
+  result.instance = call.current.instance;
   const std::uint64_t handle = call.handle;
   calls_.Remove(handle);
   sink_.OnResult(handle, std::move(result));
 }
 
-// Moves an idempotent call whose attempt takes far longer than the mean service
-// time to another instance, if enough time is left for that. Otherwise the
-// attempt continues.
-void sender_internals::OnSilentAttempt(pending_call& call) {
+// Begins another attempt of an idempotent call beside the current one, which
+// goes on: the other instance may refuse or be slower. Does nothing if the call
+// has two attempts already, or if its limits or the retry budget don't allow
+// another one.
+void sender_internals::TryStartBeside(pending_call& call,
+                                      std::string_view event,
+                                      refusal_reason reason) {
   const instant now = clock_.Now();
-  call.silence_deadline = call.deadline;
-  const auto view = view_.Current();
-  const duration mean_service_time =
-      placement_.MeanServiceTime(*view, call.plan);
   const duration left = call.deadline - now;
-  const bool has_time = left >= mean_service_time * kSilenceFactor / 2;
-  const bool has_target =
-      placement_
-          .Choose(*view, call.plan, {.objective = left, .deadline = left},
-                  call.tried_hosts, now)
-          .has_value();
-  const bool may_retry = call.reached_instances + 1 < call.plan.max_attempts &&
-                         call.attempts < kMaxAttempts;
-  if (draining_ || !has_time || !has_target || !may_retry ||
+  const bool may_retry = !call.other &&
+                         call.reached_instances + 1 < call.plan.max_attempts &&
+                         call.attempts < kMaxAttempts && left > kMinAttemptTime;
+  if (!may_retry ||
+      !placement_.Choose(*view_.Current(), call.plan,
+                         {.objective = left, .deadline = left},
+                         call.tried_hosts, now) ||
       !budget_.TryAcquire(call.plan.service, retry_kind::kRerun, DaemonCount(),
                           now)) {
     return;
   }
-  CancelAttempt(call);
-  EndAttemptThatMayHaveRun(call, "no answer in time, trying another instance",
-                           refusal_reason::kTimeout);
-  StartAttempt(call, refusal_reason::kTimeout);
+  placement_.OnOutcome(call.current.target_host, true);
+  ReportEvent(call, event, reason);
+  call.current.slow = true;
+  call.current.silence_deadline = call.deadline;
+  call.other = std::exchange(call.current, call_attempt());
+  StartAttempt(call, reason);
+}
+
+// Tries another instance for an idempotent call whose attempt takes far longer
+// than the mean service time, if enough time is left for that.
+void sender_internals::OnSlowAttempt(pending_call& call) {
+  call.current.silence_deadline = call.deadline;
+  const duration mean_service_time =
+      placement_.MeanServiceTime(*view_.Current(), call.plan);
+  if (call.deadline - clock_.Now() >= mean_service_time * kSilenceFactor / 2) {
+    TryStartBeside(call, "no answer in time, trying another instance too",
+                   refusal_reason::kTimeout);
+  }
+}
+
+// Attaches to the attempt over a new link, since its instance may be at work.
+// An idempotent call does not wait long for that, and tries another instance
+// meanwhile.
+void sender_internals::OnLostLink(pending_call& call) {
+  const instant now = clock_.Now();
+  call_attempt& attempt = call.current;
+  attempt.next_reconnect = now + options_.reconnect_delay;
+  if (!attempt.life_cycle.Process(call_event::kLinkLost)) {
+    return;
+  }
+  attempt.attach_deadline =
+      call.plan.never_repeat ? call.deadline : now + kConnectTimeout;
+  if (!call.plan.never_repeat) {
+    TryStartBeside(call, "link lost, trying another instance too",
+                   refusal_reason::kLinkLost);
+  }
 }
 
 void sender_internals::OnDeadline(pending_call& call) {
-  const call_state state = call.life_cycle.state();
-  const bool never_sent =
-      state == call_state::kConnecting || state == call_state::kChoosing;
-  CancelAttempt(call);
-  ReleaseTarget(call);
-  call.may_have_run |= !never_sent;
+  for (const call_attempt* attempt :
+       {&call.current, call.other ? &*call.other : nullptr}) {
+    if (attempt == nullptr) {
+      continue;
+    }
+    const call_state state = attempt->life_cycle.state();
+    call.may_have_run |=
+        state == call_state::kSent || state == call_state::kAttaching;
+  }
   ReportEvent(call, "deadline passed", refusal_reason::kTimeout);
+  EndOther(call);
+  CancelAttempt(call.current);
+  ReleaseTarget(call, call.current);
   Refuse(call, refusal_reason::kTimeout);
 }
 
--- a/daemon/drain.cc
+++ b/daemon/drain.cc
@@ -30,10 +30,6 @@
     drain_started_at_ = clock_.Now();
     readiness_handler_.BeginDrain();
     gate_.BeginDrain();
-    {
-      const std::lock_guard lock(sender_mutex_);
-      sender_.BeginDrain();
-    }
     {
       const std::lock_guard lock(target_mutex_);
       target_.BeginDrain();
