Send no calls to a daemon that has announced its close

Callers saw calls that stood still for 150 ms, the connect timeout, while a host stopped: once a peer had announced its close, its link took no further messages, and calls placed there waited for a link that could not come.

Cause: the mesh knew of the announcement and the sender did not.

Change: the mesh reports it (OnPeerStops), the placement skips the host until its link is lost, and calls that wait for that link go elsewhere at once.

Evidence: with OnPeerStops() empty, slow_attempt_fixture.HostThatIsAboutToStop... fails (no call was sent); Mesh.MessagesOnTheirWay... checks that the report comes once.

--- a/calls/call_sender.cc
+++ b/calls/call_sender.cc
@@ -168,6 +168,17 @@
   }
 }
 
+void sender_internals::OnPeerStops(const host_address& peer) {
+  placement_.OnLeaving(peer);
+  for (const std::uint64_t handle : calls_.HandlesAt(peer)) {
+    pending_call* call = calls_.Find(handle);
+    if (call != nullptr && SelectAttempt(*call, peer) &&
+        call->current.life_cycle.state() == call_state::kConnecting) {
+      OnNotRun(*call, refusal_reason::kLeaving, false);
+    }
+  }
+}
+
 void sender_internals::OnLinkDown(const host_address& peer) {
   placement_.OnLinkDown(peer);
   for (const std::uint64_t handle : calls_.HandlesAt(peer)) {
@@ -285,6 +296,9 @@
                            std::uint64_t incarnation) {
   internals_->OnLinkUp(peer, incarnation);
 }
+void call_sender::OnPeerStops(const host_address& peer) {
+  internals_->OnPeerStops(peer);
+}
 void call_sender::OnLinkDown(const host_address& peer) {
   internals_->OnLinkDown(peer);
 }
--- a/calls/calls.h
+++ b/calls/calls.h
@@ -235,6 +235,8 @@
   // Applies deadlines and timeouts, and reconnects lost links.
   void Tick();
   void OnLinkUp(const host_address& peer, std::uint64_t incarnation);
+  // The peer takes no further calls. Those that were sent go on.
+  void OnPeerStops(const host_address& peer);
   void OnLinkDown(const host_address& peer);
   void OnAnswer(const host_address& from, call_answer message);
   void SetRetryLimits(const retry_limits& limits);
--- a/calls/sender_internals.h
+++ b/calls/sender_internals.h
@@ -47,6 +47,7 @@
   void Cancel(std::uint64_t handle);
   void Tick();
   void OnLinkUp(const host_address& peer, std::uint64_t incarnation);
+  void OnPeerStops(const host_address& peer);
   void OnLinkDown(const host_address& peer);
   void OnAnswer(const host_address& from, call_answer message);
   void SetRetryLimits(const retry_limits& limits) { budget_.SetLimits(limits); }
--- a/daemon/daemon_internals.h
+++ b/daemon/daemon_internals.h
@@ -98,6 +98,7 @@
   // mesh_listener
   void OnMessage(const host_address& from, any_message message) override;
   void OnLinkUp(const host_address& peer, std::uint64_t incarnation) override;
+  void OnPeerStops(const host_address& peer) override;
   void OnLinkDown(const host_address& peer) override;
   void OnUndelivered(const host_address& to,
                      const any_message& message) override;
--- a/daemon/peer_wiring.cc
+++ b/daemon/peer_wiring.cc
@@ -81,6 +81,11 @@
   sender_.OnLinkUp(peer, incarnation);
 }
 
+void daemon_internals::OnPeerStops(const host_address& peer) {
+  const std::lock_guard lock(sender_mutex_);
+  sender_.OnPeerStops(peer);
+}
+
 void daemon_internals::OnLinkDown(const host_address& peer) {
   const std::lock_guard lock(sender_mutex_);
   sender_.OnLinkDown(peer);
--- a/net/net.h
+++ b/net/net.h
@@ -100,6 +100,9 @@
   // The outgoing stream to the peer is open and the peer's hello has arrived.
   virtual void OnLinkUp(const host_address& peer,
                         std::uint64_t incarnation) = 0;
+  // The peer is about to stop and takes no further messages. The stream stays
+  // until the peer ends it.
+  virtual void OnPeerStops(const host_address& peer) = 0;
   // The outgoing stream to the peer ended or could not be opened.
   virtual void OnLinkDown(const host_address& peer) = 0;
   // The outgoing stream ended while `message` was still waiting for it to open,
--- a/net/peer_mesh.cc
+++ b/net/peer_mesh.cc
@@ -317,11 +317,15 @@
 // Calls go elsewhere from now on. The stream carries the answers to those that
 // were sent, until the peer ends it.
 void mesh_internals::OnPeerStops(const std::shared_ptr<stream_link>& link) {
-  const std::lock_guard lock(mutex_);
-  const auto found = outgoing_.find(link->peer);
-  if (found != outgoing_.end() && found->second.link == link) {
+  {
+    const std::lock_guard lock(mutex_);
+    const auto found = outgoing_.find(link->peer);
+    if (found == outgoing_.end() || found->second.link != link) {
+      return;
+    }
     found->second.incarnation.reset();
   }
+  listener_.OnPeerStops(link->peer);
 }
 
 void mesh_internals::BeginClose() {
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -26,12 +26,14 @@
                 std::uint64_t incarnation) override {
     up_incarnation = incarnation;
   }
+  void OnPeerStops(const host_address& /*peer*/) override { ++peer_stops; }
   void OnLinkDown(const host_address& /*peer*/) override { ++link_downs; }
   void OnUndelivered(const host_address& /*to*/,
                      const any_message& /*message*/) override {
     ++undelivered;
   }
   std::atomic<int> messages{0};
+  std::atomic<int> peer_stops{0};
   std::atomic<int> link_downs{0};
   std::atomic<int> undelivered{0};
   std::atomic<std::uint64_t> up_incarnation{0};  // of the last OnLinkUp()
@@ -309,6 +311,7 @@
     stopping.BeginClose();
     EXPECT_TRUE(Eventually([&] { return !stopping.HasIncomingStreams(); }));
     EXPECT_TRUE(Eventually([&] { return listener.link_downs == 1; }));
+    EXPECT_EQ(listener.peer_stops, 1);
     EXPECT_EQ(stopping_listener.messages, sender.sent);
     sender.stopped = true;
     mesh.Close();
--- a/tests/slow_attempt_test.cc
+++ b/tests/slow_attempt_test.cc
@@ -183,5 +183,17 @@
   EXPECT_EQ(sent_[0].first, leaving) << "it may have started again";
 }
 
+// Guards against calls that wait for the link to a host that is about to stop.
+TEST_F(slow_attempt_fixture, HostThatIsAboutToStopGetsNoCall) {
+  down_ = {"10.0.0.1"};
+  Begin(1);
+  EXPECT_TRUE(sent_.empty()) << "the nearest host has no link yet";
+  sender_->OnPeerStops("10.0.0.1");
+  ASSERT_EQ(sent_.size(), 1U);
+  EXPECT_EQ(sent_[0].first, "10.0.0.2");
+  Begin(2);
+  EXPECT_EQ(CallsSentTo("10.0.0.2"), 2U);
+}
+
 }  // namespace
 }  // namespace parsleyyard::testing
