--- a/calls/call_sender.cc
+++ b/calls/call_sender.cc
@@ -112,19 +112,39 @@
   calls_.ReleaseTarget(call, attempt);
 }
 
-void sender_internals::CancelAttempt(const call_attempt& attempt) {
-  if (attempt.life_cycle.state() == call_state::kSent &&
+void sender_internals::CancelAttempt(const pending_call& call,
+                                     const call_attempt& attempt) {
+  const call_state state = attempt.life_cycle.state();
+  if (state == call_state::kSent &&
       link_.PeerIncarnation(attempt.target_host)) {
     link_.SendCancel(
         attempt.target_host,
         {.id = {.origin = options_.incarnation, .sequence = attempt.sequence}});
+  } else if (state == call_state::kAttaching) {
+    owed_cancels_.push_back({.host = attempt.target_host,
+                             .incarnation = attempt.target_incarnation,
+                             .sequence = attempt.sequence,
+                             .deadline = call.deadline});
+  }
+}
+
+// Cancels the attempts that were given up while the link to the peer was lost.
+void sender_internals::SendOwedCancels(const host_address& peer,
+                                       std::uint64_t incarnation) {
+  for (const owed_cancel& owed : owed_cancels_) {
+    if (owed.host == peer && owed.incarnation == incarnation) {
+      link_.SendCancel(peer, {.id = {.origin = options_.incarnation,
+                                     .sequence = owed.sequence}});
+    }
   }
+  std::erase_if(owed_cancels_,
+                [&](const owed_cancel& owed) { return owed.host == peer; });
 }
 
 // Cancels the second attempt in progress, if there is one.
 void sender_internals::EndOther(pending_call& call) {
   if (call.other) {
-    CancelAttempt(*call.other);
+    CancelAttempt(call, *call.other);
     ReleaseTarget(call, *call.other);
     call.other.reset();
   }
@@ -137,13 +157,14 @@
   }
   ReportEvent(*call, "cancelled", refusal_reason::kCancelled);
   EndOther(*call);
-  CancelAttempt(call->current);
+  CancelAttempt(*call, call->current);
   ReleaseTarget(*call, call->current);
   calls_.Remove(handle);
 }
 
 void sender_internals::OnLinkUp(const host_address& peer,
                                 std::uint64_t incarnation) {
+  SendOwedCancels(peer, incarnation);
   for (const std::uint64_t handle : calls_.HandlesAt(peer)) {
     pending_call* found = calls_.Find(handle);
     if (found == nullptr || !SelectAttempt(*found, peer)) {
@@ -169,7 +190,8 @@
 }
 
 void sender_internals::OnPeerStops(const host_address& peer) {
-  placement_.OnLeaving(peer);
+  placement_.OnDaemonStops(peer);
+  closing_peers_.insert(peer);
   for (const std::uint64_t handle : calls_.HandlesAt(peer)) {
     pending_call* call = calls_.Find(handle);
     if (call != nullptr && SelectAttempt(*call, peer) &&
@@ -195,6 +217,7 @@
       OnLostLink(*found);
     }
   }
+  closing_peers_.erase(peer);
 }
 
 void sender_internals::OnAnswer(const host_address& from, call_answer message) {
@@ -242,13 +265,16 @@
     attempt.next_reconnect = now + options_.reconnect_delay;
     link_.Open(attempt.target_host);
   } else if (state == call_state::kSent && !call.plan.never_repeat &&
-             now >= attempt.silence_deadline) {
+             !call.other && now >= attempt.silence_deadline) {
     OnSlowAttempt(call);
   }
 }
 
 void sender_internals::Tick() {
   const instant now = clock_.Now();
+  std::erase_if(owed_cancels_, [now](const owed_cancel& owed) {
+    return now >= owed.deadline;
+  });
   for (const std::uint64_t handle : calls_.Handles()) {
     pending_call* call = calls_.Find(handle);
     if (call != nullptr && now >= call->deadline) {
--- a/calls/placement.cc
+++ b/calls/placement.cc
@@ -87,17 +87,22 @@
   }
 }
 
-void placement::OnLeaving(const host_address& host) {
-  loads_[host].leaving = true;
+bool placement::HasAnnouncedStop(const host_address& host) const {
+  const auto load = loads_.find(host);
+  return load != loads_.end() && load->second.report.leaving;
+}
+
+void placement::OnDaemonStops(const host_address& host) {
+  loads_[host].stopping = true;
 }
 
 void placement::OnLinkDown(const host_address& host) {
   host_load& load = loads_[host];
-  load.leaving = false;
+  load.stopping = false;
   load.report.leaving = false;
 }
 
-// Returns true if the host is known to refuse a call of that route: it leaves
+// Returns true if the host is known to refuse a call of that route: it stops
 // or is full.
 bool placement::RefusesCalls(const host_address& host,
                              const std::string& route,
@@ -110,7 +115,7 @@
   const auto full_until = load.full_until_by_route.find(route);
   const bool full =
       full_until != load.full_until_by_route.end() && now < full_until->second;
-  return full || load.leaving;
+  return full || load.stopping;
 }
 
 bool placement::IsEligible(const snapshot& view,
--- a/calls/placement.h
+++ b/calls/placement.h
@@ -40,7 +40,7 @@
 
   // Returns the nearest instance that is expected to answer within the
   // objective, else the one that is expected to answer first. Skips the hosts
-  // in `tried_hosts` and those that are full or leave. Empty if no instance is
+  // in `tried_hosts` and those that are full or stop. Empty if no instance is
   // left.
   std::optional<chosen_instance> Choose(
       const snapshot& view,
@@ -72,9 +72,12 @@
   // Records that the host refused a call of that route because it is full. It
   // gets no other one until some of its calls have ended.
   void OnFull(const host_address& host, const std::string& route, instant now);
-  // Records that the host refused a call because its daemon stops. It gets no
+  // Returns true if the last load report of the host announced that its daemon
+  // stops.
+  bool HasAnnouncedStop(const host_address& host) const;
+  // Records that the daemon of the host stops and refuses all calls. It gets no
   // other one until the link to it is lost.
-  void OnLeaving(const host_address& host);
+  void OnDaemonStops(const host_address& host);
   // Records that the link to the host was lost. Its daemon may start again.
   void OnLinkDown(const host_address& host);
   // Adds a penalty to the host until the given time, so that calls go elsewhere
@@ -96,7 +99,7 @@
     instant reported_at{};
     double failure_share = 0;  // moving average, 0 to 1
     instant avoid_until{};
-    bool leaving = false;  // refuses all calls until its daemon has restarted
+    bool stopping = false;  // its daemon refuses all calls until it restarts
     std::map<std::string, instant> full_until_by_route;
   };
   struct candidate {
--- a/calls/sender_internals.h
+++ b/calls/sender_internals.h
@@ -11,6 +11,9 @@
 #include "calls/placement.h"
 #include "calls/retry_budget.h"
 
+#include <set>
+#include <vector>
+
 namespace parsleyyard {
 
 // No attempt starts with less time than this until the deadline, because it
@@ -24,6 +27,14 @@
 // An attempt counts as slow after this many times the mean service time.
 inline constexpr int kSilenceFactor = 4;
 
+// A cancel that waits for the lost link to the target.
+struct owed_cancel {
+  host_address host;
+  std::uint64_t incarnation = 0;  // of the target
+  std::uint64_t sequence = 0;     // number of the attempt
+  instant deadline{};             // by then, the target has ended the attempt
+};
+
 class sender_internals {
  public:
   sender_internals(sender_options options,
@@ -74,8 +85,9 @@
   void EndOther(pending_call& call);
   void OnDeadline(pending_call& call);
   void TickAttempt(pending_call& call, instant now);
+  void SendOwedCancels(const host_address& peer, std::uint64_t incarnation);
   bool TryAcquireRetry(const pending_call& call, retry_kind kind);
-  void CancelAttempt(const call_attempt& attempt);
+  void CancelAttempt(const pending_call& call, const call_attempt& attempt);
   void Finish(pending_call& call, call_result result);
   void Refuse(pending_call& call, refusal_reason reason);
   duration DrawRetryAfter(const pending_call& call);
@@ -94,6 +106,8 @@
   placement placement_;
   retry_budget budget_;
   pending_calls calls_;
+  std::set<host_address> closing_peers_;  // have announced their close
+  std::vector<owed_cancel> owed_cancels_;
 };
 
 }  // namespace parsleyyard
--- a/calls/sender_outcomes.cc
+++ b/calls/sender_outcomes.cc
@@ -13,6 +13,9 @@
 // Daemons that one call is sent to. More attempts would only keep the caller
 // waiting.
 constexpr std::uint32_t kMaxAttempts = 6;
+// Time for which calls avoid a host whose instance leaves. By then, the view
+// lists the instance as draining, or another one in its place.
+constexpr duration kInstanceLeavingAvoidTime = std::chrono::milliseconds(1500);
 // Time for which calls avoid a host after an attempt there that has not run,
 // for any other reason than draining or overload.
 constexpr duration kFailureAvoidTime = std::chrono::milliseconds(400);
@@ -26,6 +29,11 @@
   return reason != refusal_reason::kDeadlinePassed;
 }
 
+bool WasSent(const call_attempt& attempt) {
+  const call_state state = attempt.life_cycle.state();
+  return state == call_state::kSent || state == call_state::kAttaching;
+}
+
 // Number of instances that the call may have reached, but for its current
 // attempt.
 std::uint32_t ReachedInstances(const pending_call& call) {
@@ -53,8 +61,10 @@
   const host_address host = call.current.target_host;
   const instant now = clock_.Now();
   ReleaseTarget(call, call.current);
-  if (reason == refusal_reason::kLeaving) {
-    placement_.OnLeaving(host);
+  if (reason == refusal_reason::kLeaving && placement_.HasAnnouncedStop(host)) {
+    placement_.OnDaemonStops(host);
+  } else if (reason == refusal_reason::kLeaving) {
+    placement_.Avoid(host, now + kInstanceLeavingAvoidTime);
   } else if (reason == refusal_reason::kOverloaded) {
     placement_.OnFull(host, call.plan.route, now);
   } else {
@@ -202,13 +212,17 @@
   }
 }
 
-// Attaches to the attempt over a new link, since its instance may be at work.
+// Attaches to the attempt over a new link, since its instance may be at work,
+// unless its daemon has ended.
 // An idempotent call does not wait long for that, and tries another instance
 // meanwhile.
 void sender_internals::OnLostLink(pending_call& call) {
   const instant now = clock_.Now();
   call_attempt& attempt = call.current;
   attempt.next_reconnect = now + options_.reconnect_delay;
+  if (closing_peers_.contains(attempt.target_host)) {
+    return OnUnknownOutcome(call, refusal_reason::kLinkLost);
+  }
   if (!attempt.life_cycle.Process(call_event::kLinkLost)) {
     return;
   }
@@ -221,18 +235,11 @@
 }
 
 void sender_internals::OnDeadline(pending_call& call) {
-  for (const call_attempt* attempt :
-       {&call.current, call.other ? &*call.other : nullptr}) {
-    if (attempt == nullptr) {
-      continue;
-    }
-    const call_state state = attempt->life_cycle.state();
-    call.may_have_run |=
-        state == call_state::kSent || state == call_state::kAttaching;
-  }
+  call.may_have_run |=
+      WasSent(call.current) || (call.other && WasSent(*call.other));
   ReportEvent(call, "deadline passed", refusal_reason::kTimeout);
   EndOther(call);
-  CancelAttempt(call.current);
+  CancelAttempt(call, call.current);
   ReleaseTarget(call, call.current);
   Refuse(call, refusal_reason::kTimeout);
 }
--- a/tests/slow_attempt_test.cc
+++ b/tests/slow_attempt_test.cc
@@ -35,6 +35,27 @@
         sent_.begin(), sent_.end(),
         [&](const auto& attempt) { return attempt.first == host; }));
   }
+  void BeginWithAttempts(std::uint64_t call, std::uint32_t max_attempts) {
+    call_plan plan = Plan(false);
+    plan.max_attempts = max_attempts;
+    plan.deadline = seconds(3);
+    sender_->Begin(call, plan, {});
+  }
+  // Begins a call each second, which is answered. Returns true if `host` got
+  // one.
+  bool GetsCall(const host_address& host, int calls) {
+    for (int i = 0; i < calls; ++i) {
+      clock_.now += seconds(1);
+      sender_->Tick();
+      Begin(++last_call_);
+      if (sent_.back().first == host) {
+        return true;
+      }
+      Answer({.outcome = call_outcome::kAnswer, .status = 200});
+    }
+    return false;
+  }
+  std::uint64_t last_call_ = 100;
 };
 
 // Guards against 502 responses while the instance was at work.
@@ -166,7 +187,9 @@
 TEST_F(slow_attempt_fixture, HostThatRefusedAsLeavingGetsNoCallUntilItStarts) {
   Begin(1);
   const host_address leaving = sent_[0].first;
-  Refuse(refusal_reason::kLeaving);
+  Answer({.outcome = call_outcome::kNotRun,
+          .reason = refusal_reason::kLeaving,
+          .load = {.leaving = true}});
   Answer({.outcome = call_outcome::kAnswer, .status = 200});
   sent_.clear();
   for (std::uint64_t call = 2; call < 8; ++call) {
@@ -183,6 +206,92 @@
   EXPECT_EQ(sent_[0].first, leaving) << "it may have started again";
 }
 
+// Guards against hosts without calls after a release: the instance left, its
+// daemon and the link stay.
+TEST_F(slow_attempt_fixture, HostWhoseInstanceWasReplacedGetsCalls) {
+  Begin(1);
+  ASSERT_EQ(sent_[0].first, "10.0.0.1");
+  Refuse(refusal_reason::kLeaving);
+  Answer({.outcome = call_outcome::kAnswer, .status = 200});
+  SetView({Instance("near2", "10.0.0.1", "north-a"),
+           Instance("mid", "10.0.0.2", "north-b"),
+           Instance("far", "10.0.0.3", "south-a")});
+  EXPECT_TRUE(GetsCall("10.0.0.1", 30));
+}
+
+// Guards against a daemon that sends its own instance nothing more: there is no
+// link to its own host that could be lost.
+TEST_F(slow_attempt_fixture, ReplacedInstanceOfTheOwnHostGetsCalls) {
+  SetView({Instance("own", "10.0.0.9", "north-a"),
+           Instance("mid", "10.0.0.2", "north-b")});
+  Begin(1);
+  ASSERT_EQ(sent_[0].first, "10.0.0.9");
+  Refuse(refusal_reason::kLeaving);
+  Answer({.outcome = call_outcome::kAnswer, .status = 200});
+  SetView({Instance("own2", "10.0.0.9", "north-a"),
+           Instance("mid", "10.0.0.2", "north-b")});
+  EXPECT_TRUE(GetsCall("10.0.0.9", 30));
+}
+
+// Guards against a service without any instance: the only one was replaced.
+TEST_F(slow_attempt_fixture, OnlyInstanceThatWasReplacedGetsCalls) {
+  SetView({Instance("near", "10.0.0.1", "north-a")});
+  Begin(1);
+  Refuse(refusal_reason::kLeaving);
+  SetView({Instance("near2", "10.0.0.1", "north-a")});
+  clock_.now += seconds(30);
+  sent_.clear();
+  Begin(2);
+  EXPECT_EQ(sent_.size(), 1U);
+}
+
+// Guards against a call that waits for a silent attempt up to its deadline
+// though it may have a further one.
+TEST_F(slow_attempt_fixture, SilentSecondAttemptGetsAThirdBesideIt) {
+  BeginWithAttempts(1, 3);
+  clock_.now += milliseconds(410);
+  sender_->Tick();
+  ASSERT_EQ(sent_.size(), 2U);
+  clock_.now += milliseconds(410);
+  sender_->Tick();
+  AnswerAttempt(0, {.outcome = call_outcome::kUnknown,
+                    .reason = refusal_reason::kUpstreamLost,
+                    .reached_instance = true});
+  sender_->Tick();
+  EXPECT_EQ(sent_.size(), 3U);
+}
+
+// Guards against runs that go on after the caller has left: the link was lost
+// at that moment.
+TEST_F(slow_attempt_fixture, CancelReachesAnAttemptWhoseLinkComesBack) {
+  BeginWithAttempts(1, 1);
+  const host_address target = sent_[0].first;
+  sender_->OnLinkDown(target);
+  sender_->Cancel(1);
+  sender_->OnLinkUp(target, 5);
+  EXPECT_EQ(cancelled_.size(), 1U);
+}
+
+TEST_F(slow_attempt_fixture, ResponseElsewhereCancelsAnAttemptWithoutLink) {
+  Begin(1, false);
+  const host_address target = sent_[0].first;
+  sender_->OnLinkDown(target);
+  ASSERT_EQ(sent_.size(), 2U);
+  AnswerAttempt(1, {.outcome = call_outcome::kAnswer, .status = 200});
+  ASSERT_EQ(results_[1].status, 200);
+  sender_->OnLinkUp(target, 5);
+  EXPECT_EQ(cancelled_.size(), 1U);
+}
+
+TEST_F(slow_attempt_fixture, AttemptThatCanNotBeResumedEndsAtOnce) {
+  SetView({Instance("near", "10.0.0.1", "north-a")});
+  Begin(1, false);
+  sender_->OnPeerStops("10.0.0.1");
+  sender_->OnLinkDown("10.0.0.1");
+  EXPECT_TRUE(results_.contains(1))
+      << "the peer has ended its answers and takes no new stream";
+}
+
 // Guards against calls that wait for the link to a host that is about to stop.
 TEST_F(slow_attempt_fixture, HostThatIsAboutToStopGetsNoCall) {
   down_ = {"10.0.0.1"};
