--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -1,5 +1,6 @@
-// Tests of the view keeper, the relay plan and packing: how a daemon reads the
-// store, relays updates and applies them, and which state it must keep.
+// Tests of the view keeper: how a daemon reads the store, relays updates and
+// applies them, and which state it must keep. tests/view_age_test.cc has the
+// age of the view, tests/relay_test.cc the relay plan and packing,
 // tests/restored_store_test.cc has the restores of the store, and
 // tests/control_property_test.cc random sequences of faults.
 
@@ -7,8 +8,6 @@
 
 #include <gtest/gtest.h>
 
-#include <limits>
-
 namespace parsleyyard::testing {
 namespace {
 
@@ -234,107 +233,6 @@
   EXPECT_EQ(test.environment.full_reads, before + 1);
 }
 
-// Receives an update that confirms the view of `test`, sent at `sent_at`.
-void ReceiveConfirmation(keeper_with_instance& test, instant sent_at) {
-  test.keeper.OnUpdate(
-      {.root = "10.0.0.2",
-       .cover_from = 0,
-       .cover_to = std::numeric_limits<std::uint64_t>::max(),
-       .era = test.store.Position().era,
-       .from_revision = test.store.revision(),
-       .to_revision = test.store.revision(),
-       .age_ms = 10,
-       .sender = 7,
-       .sent_ms = static_cast<std::uint64_t>(sent_at.count() / 1000)});
-}
-
-// Guards against answers by an old view that is taken for a fresh one.
-TEST(Control, UpdateIsOlderByTheTimeThatItWaitedOnItsWay) {
-  keeper_with_instance test;
-  ReceiveConfirmation(test, test.clock.now - milliseconds(12));
-  const instant sent_at = test.clock.now;
-  for (int i = 0; i < 6; ++i) {
-    test.clock.now += milliseconds(502);
-    test.keeper.Tick();
-  }
-  ReceiveConfirmation(test, sent_at);
-  EXPECT_EQ(test.keeper.Status().age, duration(milliseconds(3010)));
-}
-
-TEST(Control, RelayedUpdateIsOlderByTheTimeThatItWaitedOnItsWay) {
-  keeper_with_instance test;
-  test.store.Put("i/2", InstanceText("10.0.0.7", "domain-0"), test.clock.now);
-  test.keeper.OnWatchResult(test.store.AllItems());
-  ReceiveConfirmation(test, test.clock.now);
-  const instant sent_at = test.clock.now;
-  test.clock.now += seconds(2);
-  test.environment.sent.clear();
-  ReceiveConfirmation(test, sent_at);
-  ASSERT_FALSE(test.environment.sent.empty());
-  EXPECT_EQ(test.environment.sent[0].age_ms, 2010u);
-}
-
-TEST(Control, FirstUpdateAfterPauseAtStartConfirmsNothing) {
-  manual_clock clock;
-  text_decoder decoder;
-  recording_environment environment;
-  view_keeper keeper({.address = "10.0.0.1"}, clock, decoder, environment,
-                     environment, environment);
-  keeper.Tick();
-  clock.now += milliseconds(1200);
-  keeper.OnUpdate({.root = "10.0.0.2", .to_revision = 5, .age_ms = 10});
-  EXPECT_EQ(keeper.Status().position.revision, 5u);
-  EXPECT_GT(keeper.Status().age, duration(seconds(60)));
-}
-
-TEST(Control, LateResponseToShortWatchConfirmsTheTimeOfItsRequest) {
-  keeper_with_instance test;
-  for (int i = 0; i < 10 && test.environment.watches == 0; ++i) {
-    test.clock.now += milliseconds(300);
-    test.keeper.Tick();
-  }
-  ASSERT_EQ(test.environment.watches, 1);
-  const instant asked_at = test.clock.now;
-  test.clock.now += milliseconds(600);
-  test.keeper.OnWatchResult({.as_of = test.store.Position()});
-  EXPECT_LE(test.keeper.Status().confirmed_at, asked_at + milliseconds(1));
-}
-
-// A daemon that hears of all changes late would hear no sooner from the store.
-TEST(Control, UpdatesThatWaitedOnTheirWayCauseNoReadsOfTheStore) {
-  keeper_with_instance test;
-  test.store.Put("i/2", InstanceText("10.0.0.1", "domain-0"), test.clock.now);
-  test.keeper.OnWatchResult(test.store.AllItems());
-  ReceiveConfirmation(test, test.clock.now);
-  const int before = test.environment.watches;
-  for (int i = 0; i < 20; ++i) {
-    const instant sent_at = test.clock.now - seconds(2);
-    test.clock.now += milliseconds(200);
-    ReceiveConfirmation(test, sent_at);
-    test.keeper.Tick();
-  }
-  EXPECT_EQ(test.environment.watches, before);
-}
-
-TEST(TransitClock, CountsWhatAMessageTakesBeyondTheShortestTime) {
-  transit_clock transit;
-  EXPECT_EQ(transit.Observe(1, seconds(9), seconds(20)), duration::zero());
-  EXPECT_EQ(transit.Observe(1, seconds(10), seconds(24)), duration(seconds(3)));
-  EXPECT_EQ(transit.Observe(1, seconds(20), seconds(30)), duration::zero());
-  EXPECT_EQ(transit.Observe(1, seconds(21), seconds(32)), duration(seconds(1)));
-  EXPECT_EQ(transit.Observe(2, seconds(1), seconds(33)), duration::zero())
-      << "another clock";
-}
-
-TEST(TransitClock, FollowsClocksThatDriftApart) {
-  transit_clock transit;
-  duration drift{};
-  for (instant now = seconds(100); now < seconds(4000); now += seconds(1)) {
-    drift += std::chrono::microseconds(50);
-    EXPECT_LE(transit.Observe(1, now - drift, now), duration(milliseconds(6)));
-  }
-}
-
 TEST(Control, HoldsRemovalsForPeerAfterOutage) {
   keeper_with_instance test;
   test.clock.now += seconds(5);
@@ -496,25 +394,6 @@
   EXPECT_EQ(world.FullReads(), before);
 }
 
-// An update that had waited in the socket of a suspended process was taken for
-// a current one (found by tests/processes_test.py).
-TEST(Control, UpdateThatWaitedDuringProcessPauseDoesNotConfirmView) {
-  view_world world(kDaemons);
-  world.Run(seconds(5));
-  int follower = 0;
-  while (world.Status(follower).active_reader) {
-    ++follower;
-  }
-  world.SetSuspended(follower, true);
-  world.Run(seconds(3));
-  world.SetStorePartition(follower, true);
-  world.SetSuspended(follower, false);
-  EXPECT_GT(world.Status(follower).age, duration(seconds(2)));
-  world.SetStorePartition(follower, false);
-  world.Run(seconds(2));
-  EXPECT_LT(world.Status(follower).age, duration(seconds(1)));
-}
-
 TEST(Control, SuspendedActiveReaderIsReplacedAndCatchesUp) {
   view_world world(kDaemons);
   world.Run(seconds(5));
@@ -565,54 +444,5 @@
   EXPECT_LE(world.reads() - before, 16u);
 }
 
-TEST(RelayPlan, ReachesEachDaemonExactlyOnce) {
-  std::vector<relay_peer> peers;
-  for (int i = 0; i < 300; ++i) {
-    peers.push_back({.address = "10.0." + std::to_string(i / 100) + "." +
-                                std::to_string(i % 100),
-                     .region = i % 3 == 0 ? "north" : "south"});
-  }
-  std::map<host_address, int> deliveries;
-  std::vector<std::pair<relay_step, int>> pending;
-  int max_depth = 0;
-  for (relay_step& step : PlanFromOriginator("10.0.0.0", "north", peers, 8)) {
-    pending.emplace_back(std::move(step), 1);
-  }
-  while (!pending.empty()) {
-    const auto [step, depth] = pending.back();
-    pending.pop_back();
-    ++deliveries[step.receiver];
-    max_depth = std::max(max_depth, depth);
-    const auto receiver =
-        std::find_if(peers.begin(), peers.end(),
-                     [&, to = step.receiver](const relay_peer& p) {
-                       return p.address == to;
-                     });
-    for (relay_step& next : PlanWithinRange(step.receiver, receiver->region,
-                                            "10.0.0.0", step.range, peers, 8)) {
-      pending.emplace_back(std::move(next), depth + 1);
-    }
-  }
-  EXPECT_EQ(deliveries.size(), 299u);
-  for (const auto& [address, times] : deliveries) {
-    EXPECT_EQ(times, 1) << address;
-  }
-  EXPECT_LE(max_depth, 4);
-}
-
-TEST(Packing, SmallChangeYieldsSmallDelta) {
-  std::string before;
-  for (int i = 0; i < 600; ++i) {
-    before += "route " + std::to_string(i * 7919 % 10007) + "; ";
-  }
-  std::string after = before;
-  after.replace(300, 3, "new");
-  const std::string packed = Pack(after, &before);
-  EXPECT_LT(packed.size(), 100u);
-  EXPECT_EQ(Unpack(packed, after.size(), &before), after);
-  EXPECT_EQ(Unpack(packed, after.size() + 1, &before), std::nullopt);
-  EXPECT_EQ(Unpack(packed, after.size(), nullptr), std::nullopt);
-}
-
 }  // namespace
 }  // namespace parsleyyard::testing
