Tell the daemon beside an instance that was removed with the others

Cause: the active reader applied a removal first and planned the relay by the view after it, in which that daemon is no peer any more. Within a part of the relay other daemons still passed the update on; at the edge of a part, and in a fleet that is no larger than the fan-out always, nobody did. The daemon then went on with an ageing view until it read the store itself.

Change: the update goes to the peers of the view before it and after it.

Evidence: Control.DaemonBesideARemovedInstanceIsToldWithTheOthers failed ('instance 11 in the view of 11' 600 ms later, for five of its daemons) and passes; 60 tests of the view pass.

--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -46,6 +46,20 @@
 // Shortest wait that the store accepts for a watch; it responds at once.
 constexpr duration kMinWatchWait = std::chrono::milliseconds(1);
 
+std::vector<relay_peer> UnionOf(const std::vector<relay_peer>& before,
+                                std::vector<relay_peer> now) {
+  std::set<host_address> known;
+  for (const relay_peer& peer : now) {
+    known.insert(peer.address);
+  }
+  for (const relay_peer& peer : before) {
+    if (!known.contains(peer.address)) {
+      now.push_back(peer);
+    }
+  }
+  return now;
+}
+
 std::set<std::string> KeysOf(const std::vector<source_item>& items) {
   std::set<std::string> keys;
   for (const source_item& item : items) {
@@ -407,6 +421,7 @@
   HoldRemovalsAfterOutage(clock_.Now());
   const bool is_first_view = !HasView();
   const bool begins_era = BeginsEra(as_of);
+  const std::vector<relay_peer> peers_before = Peers();
   view_update update = EmptyUpdate(begins_era ? 0 : position_.revision);
   bool changed = is_first_view || begins_era;
   for (const source_item& item : items) {
@@ -432,8 +447,11 @@
     return;
   }
   StampUpdate(update);
-  Relay(update, PlanFromOriginator(options_.address, options_.region, Peers(),
-                                   options_.fan_out));
+  // The daemon beside an instance that was removed is no peer any more, but
+  // must hear of it.
+  Relay(update,
+        PlanFromOriginator(options_.address, options_.region,
+                           UnionOf(peers_before, Peers()), options_.fan_out));
   SendToSubscribers(update);
 }
 
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -248,6 +248,23 @@
   EXPECT_FALSE(world.View(7).instances.contains("3"));
 }
 
+// Guards against requests to an instance that has left: the daemon beside it
+// was told last.
+TEST(Control, DaemonBesideARemovedInstanceIsToldWithTheOthers) {
+  view_world world(kDaemons);
+  world.Run(seconds(5));
+  for (int i = 0; i < kDaemons; ++i) {
+    world.RemoveInstance(i);
+    world.Run(milliseconds(600));
+    for (int viewer = 0; viewer < kDaemons; ++viewer) {
+      EXPECT_FALSE(world.View(viewer).instances.contains(std::to_string(i)))
+          << "instance " << i << " in the view of " << viewer;
+    }
+    world.RegisterInstance(i, "ready");
+    world.Run(seconds(2));
+  }
+}
+
 // The view of the suspended daemon is old, but the store was available all the
 // time, so removals must not be held.
 TEST(Control, AppliesRemovalsAtOnceAfterProcessPause) {
