Let a planned stop follow the grace time of the platform

Cause: calls.drain_notice and calls.drain_timeout are fixed, and nothing read grace-s.

Change: PlanStop() (no I/O) makes the times of a stop from the grace time and the settings. A reload changes it, also during a stop. The stop logs its times and what it cuts off: callers' calls, the instance's runs and queue, and whether all had ended.

--- a/daemon/component_options.cc
+++ b/daemon/component_options.cc
@@ -61,6 +61,12 @@
           .max_waiting_calls = s.calls.queue};
 }
 
+stop_options BuildStopOptions(const daemon_settings& s, duration grace) {
+  return {.grace = grace,
+          .notice = s.calls.drain_notice,
+          .timeout = s.calls.drain_timeout};
+}
+
 http_server_options BuildCallerServerOptions(
     const daemon_settings& s,
     std::function<http_limits()> limits) {
--- a/daemon/component_options.h
+++ b/daemon/component_options.h
@@ -5,6 +5,7 @@
 
 #include "daemon/daemon.h"
 #include "daemon/event_log.h"
+#include "daemon/stop_plan.h"
 #include "net/net.h"
 
 #include <functional>
@@ -25,6 +26,9 @@
                                   const daemon_platform& platform,
                                   std::uint64_t incarnation);
 
+// `grace` is that of the platform_limits in force.
+stop_options BuildStopOptions(const daemon_settings& s, duration grace);
+
 // `limits` is called for each request.
 http_server_options BuildCallerServerOptions(
     const daemon_settings& s,
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -89,7 +89,8 @@
       tick_timer_(context_),
       link_timer_(context_),
       log_timer_(context_),
-      drain_timer_(context_) {
+      drain_timer_(context_),
+      grace_(platform.limits.grace) {
   InstallCallbacks();
 }
 
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -27,6 +27,9 @@
 struct platform_limits {
   retry_limits retries;
   cold_limits cold;
+  // Time from the request to stop until the process is killed; zero: not
+  // stated.
+  duration grace{};
 };
 
 // The platform-specific parts of a daemon. The referenced objects must outlive
@@ -66,7 +69,7 @@
 
   // Starts a drain: announces the stop, then closes the listener for callers,
   // refuses new calls from peers, finishes the calls in flight and makes Run()
-  // return. Thread-safe.
+  // return. See PlanStop() for the times. Thread-safe.
   void BeginDrain();
 
  private:
--- a/daemon/daemon_internals.h
+++ b/daemon/daemon_internals.h
@@ -21,6 +21,7 @@
 #include "daemon/metrics.h"
 #include "daemon/readiness_handler.h"
 #include "daemon/shared_view.h"
+#include "daemon/stop_plan.h"
 #include "daemon/upstream_runner.h"
 #include "net/net.h"
 
@@ -117,7 +118,10 @@
   void Tick();
   void OpenMissingLinks();
   void FlushLog();
+  stop_plan PlanThisStop() const;
   void ContinueDrain();
+  bool EndCalls();
+  void LogEndOfCalls();
   void Stop();
   bool IsSelf(const host_address& to) const {
     return to == settings_.host.address;
@@ -164,8 +168,10 @@
   asio::steady_timer link_timer_;
   asio::steady_timer log_timer_;
   asio::steady_timer drain_timer_;
+  std::atomic<duration> grace_;  // platform_limits::grace
   std::atomic<bool> draining_{false};
   instant drain_started_at_{};
+  bool stop_timed_out_ = false;  // it did not wait for all calls in flight
   std::optional<instant> peers_asked_at_;  // to send nothing more
 };
 
--- a/daemon/drain.cc
+++ b/daemon/drain.cc
@@ -1,5 +1,6 @@
 // Drain: announced stop, end of the calls in flight, stop of the daemon.
 
+#include "daemon/component_options.h"
 #include "daemon/daemon_internals.h"
 
 #include <boost/asio/post.hpp>
@@ -9,24 +10,34 @@
 namespace {
 
 constexpr duration kDrainCheckInterval = std::chrono::milliseconds(20);
-// Longest wait for the peers to stop sending.
-constexpr duration kPeerTimeout = std::chrono::milliseconds(200);
+
+std::int64_t ToMilliseconds(duration d) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
 
 }  // namespace
 
-// For drain_notice after the drain begins, the stop is announced while new
-// requests are still accepted, so that callers and peers stop sending here.
-// Then the listener closes, and the calls in flight finish. Once they have, or
-// drain_timeout after the drain began, the peers are asked to send nothing
-// more. Calls that were on their way are refused, since a call that nobody
-// reads would have an unknown outcome. The daemon stops when all peers have
-// done so.
+// Made anew at each step, since a reload may change the grace time.
+stop_plan daemon_internals::PlanThisStop() const {
+  return PlanStop(BuildStopOptions(settings_, grace_));
+}
+
+// Until the plan's `notice`, the stop is announced while new requests are still
+// accepted, so that callers and peers stop sending here. Then the listener
+// closes, and the calls in flight finish. Once they have, or at the plan's
+// `timeout`, the peers are asked to send nothing more. Calls that were on their
+// way are refused, since a call that nobody reads would have an unknown
+// outcome. The daemon stops when all peers have done so.
 void daemon_internals::BeginDrain() {
   asio::post(context_, [this] {
     if (draining_.exchange(true)) {
       return;
     }
-    log_.Write(log_kind::kProcess, log_level::kInfo, "daemon", "stopping");
+    const stop_plan plan = PlanThisStop();
+    log_.Write(log_kind::kProcess, log_level::kInfo, "daemon", "stopping",
+               {{"grace_ms", ToMilliseconds(grace_)},
+                {"notice_ms", ToMilliseconds(plan.notice)},
+                {"timeout_ms", ToMilliseconds(plan.timeout)}});
     drain_started_at_ = clock_.Now();
     readiness_handler_.BeginDrain();
     gate_.BeginDrain();
@@ -41,10 +52,25 @@
 
 void daemon_internals::ContinueDrain() {
   const duration elapsed = clock_.Now() - drain_started_at_;
-  const duration notice = settings_.calls.drain_notice;
-  if (elapsed < notice) {
+  const stop_plan plan = PlanThisStop();
+  if (elapsed < plan.notice) {
     return;
   }
+  const bool idle = EndCalls();
+  if (!peers_asked_at_ && (idle || elapsed >= plan.timeout)) {
+    stop_timed_out_ = !idle;
+    peers_asked_at_ = clock_.Now();
+    mesh_.BeginClose();
+  }
+  if (peers_asked_at_ &&
+      (!mesh_.HasIncomingStreams() ||
+       clock_.Now() - *peers_asked_at_ >= plan.peer_timeout)) {
+    Stop();
+  }
+}
+
+// Takes no further calls. Returns true once those in flight have ended.
+bool daemon_internals::EndCalls() {
   caller_server_.StopAccepting();
   bool target_idle = false;
   {
@@ -56,19 +82,32 @@
   if (idle) {
     caller_server_.CloseIdle();
   }
-  const bool ended = (idle && caller_server_.IsClosed()) ||
-                     elapsed >= settings_.calls.drain_timeout;
-  if (ended && !peers_asked_at_) {
-    peers_asked_at_ = clock_.Now();
-    mesh_.BeginClose();
-  }
-  if (peers_asked_at_ && (!mesh_.HasIncomingStreams() ||
-                          clock_.Now() - *peers_asked_at_ >= kPeerTimeout)) {
-    Stop();
+  return idle && caller_server_.IsClosed();
+}
+
+// States what the stop cuts off.
+void daemon_internals::LogEndOfCalls() {
+  load_report load;
+  {
+    const std::lock_guard lock(target_mutex_);
+    load = target_.Load();
   }
+  const std::size_t callers_calls = gate_.in_flight();
+  const bool cuts_off =
+      callers_calls > 0 || load.running > 0 || load.waiting > 0;
+  log_.Write(log_kind::kProcess,
+             cuts_off ? log_level::kWarning : log_level::kInfo, "daemon",
+             cuts_off ? "calls cut off by stop" : "calls ended before stop",
+             {{"because", stop_timed_out_ ? "timeout" : "idle"},
+              {"after_ms", ToMilliseconds(clock_.Now() - drain_started_at_)},
+              {"callers_calls", callers_calls},
+              {"connections", caller_server_.connections()},
+              {"instance_runs", load.running},
+              {"instance_queue", load.waiting}});
 }
 
 void daemon_internals::Stop() {
+  LogEndOfCalls();
   mesh_.Close();
   drain_timer_.expires_after(2 * kDrainCheckInterval);
   drain_timer_.async_wait(
--- a/daemon/parsleyyardd.cc
+++ b/daemon/parsleyyardd.cc
@@ -42,7 +42,8 @@
                                                 .slack = bounds.retry_slack,
                                                 .window = bounds.retry_window},
                                     .cold = {.factor = bounds.cold_rate_factor,
-                                             .slack = bounds.cold_rate_slack}}};
+                                             .slack = bounds.cold_rate_slack},
+                                    .grace = bounds.grace}};
 }
 
 // Loads the settings and passes them to `accept`, or passes a one-line error to
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -130,14 +130,16 @@
   const bounds parsed =
       ParseBounds(
           "seed-lag-s=3,budget-ratio=0.1,budget-slack=64,"
-          "budget-window-s=4,warmup-factor=1.5,warmup-slack=5,x=y")
+          "budget-window-s=4,warmup-factor=1.5,warmup-slack=5,grace-s=2.5,x=y")
           .value();
   EXPECT_EQ(parsed.retry_ratio, 0.1);
   EXPECT_EQ(parsed.retry_slack, 64);
   EXPECT_EQ(parsed.retry_window, duration(seconds(4)));
   EXPECT_EQ(parsed.cold_rate_factor, 1.5);
   EXPECT_EQ(parsed.cold_rate_slack, 5);
+  EXPECT_EQ(parsed.grace, duration(milliseconds(2500)));
   EXPECT_EQ(ParseBounds("").value().retry_ratio, 0.2);
+  EXPECT_EQ(ParseBounds("").value().grace, duration::zero());
   EXPECT_FALSE(ParseBounds("budget-ratio=much"));
   EXPECT_FALSE(ParseBounds("{\"budget-ratio\":0.1}"));
 }
--- a/tests/processes_test.py
+++ b/tests/processes_test.py
@@ -24,8 +24,8 @@
 
 
 class ProcessesCase(unittest.TestCase):
-    def fleet(self, settings=SETTINGS, **options):
-        return fleet.Fleet(fleet.FAROLITO, ROOT / "out/test", build=BUILD, settings=settings,
+    def fleet(self, profile=fleet.FAROLITO, settings=SETTINGS, **options):
+        return fleet.Fleet(profile, ROOT / "out/test", build=BUILD, settings=settings,
                            kept_dir=ROOT / "out/failed", **options)
 
     def assert_valid_history(self, f, max_unknown=None):
@@ -54,6 +54,51 @@
             self.assert_valid_history(f, max_unknown=0)
 
 
+class PlannedStopTest(ProcessesCase):
+    """The stop of one daemon, under the grace time of the platform."""
+
+    def settings_for_grace(self, grace_s):
+        return {**SETTINGS, "platform": {"bounds": f"drain-ms=2000,grace-s={grace_s}"}}
+
+    def events(self, f, host, name):
+        lines = (f.out_dir / f"daemon-{host.address}.log").read_text().splitlines()
+        return [line for line in map(json.loads, lines) if line["event"] == name]
+
+    def wait_until(self, condition, seconds=30):
+        deadline = time.time() + seconds
+        while not condition():
+            self.assertLess(time.time(), deadline)
+            time.sleep(0.02)
+
+    def has_runs(self, f, host):
+        status = f.status(host)
+        return status is not None and status["upstream"]["running"] > 0
+
+    def test_grace_time_of_a_reload_counts(self):
+        with self.fleet(settings=self.settings_for_grace(10)) as f:
+            f.wait_ready()
+            first, second = f.hosts[:2]
+            f.settings = self.settings_for_grace(2)
+            f.write_settings(first)
+            f.send_signal("daemon-" + first.address, signal.SIGHUP)
+            self.wait_until(lambda: self.events(f, first, "settings reloaded"))
+            for host, grace_ms in ((first, 2000), (second, 10000)):
+                self.assertEqual(f.terminate("daemon-" + host.address), 0)
+                self.assertEqual([line["grace_ms"] for line in self.events(f, host, "stopping")], [grace_ms])
+                self.assertEqual([line["because"] for line in self.events(f, host, "calls ended before stop")], ["idle"])
+
+    def test_calls_that_are_cut_off_are_counted(self):
+        with self.fleet(profile={**fleet.FAROLITO, "service_ms": 1500}, settings=self.settings_for_grace(1)) as f:
+            f.wait_ready()
+            f.start_callers("load", 100, 30, 9)
+            host = f.hosts[0]
+            self.wait_until(lambda: self.has_runs(f, host))
+            self.assertEqual(f.terminate("daemon-" + host.address), 0)
+            [line] = self.events(f, host, "calls cut off by stop")
+            self.assertEqual(line["because"], "timeout")
+            self.assertGreater(line["callers_calls"] + line["instance_runs"], 0)
+
+
 class FaultsTest(ProcessesCase):
     def test_history_stays_valid_under_overlapping_faults(self):
         with self.fleet(cold_ms=500) as f:
