Refuse late requests of a stop that may not end before it

Cause: a draining daemon refused no request of a caller by itself. caller_gate::RefuseNewRequests() was never called.

Evidence: gate_fixture.RequestThatCannotEndBeforeTheStopIsRefusedAsNotRun fails with the check taken out ("StatusOf(response) Which is: 200"). net_test: 109 passed.

--- a/daemon/caller_gate.cc
+++ b/daemon/caller_gate.cc
@@ -215,9 +215,6 @@
   if (const auto problem = CheckMessageLimits(head)) {
     return RefuseHead(head, *problem, observed);
   }
-  if (refusing_) {
-    return RefuseHead(head, refusal_reason::kLeaving, observed);
-  }
   const refusal_reason refusal =
       CheckHead(*observed.view, observed.age, ExtractFacts(head));
   if (refusal != refusal_reason::kNone) {
@@ -226,15 +223,26 @@
   return std::nullopt;
 }
 
-std::function<void()> caller_gate::OnRequest(http_request request,
-                                             response_callback reply) {
-  const observed_view observed = Observe();
+head_decision caller_gate::DecideRequest(const http_request& request,
+                                         const observed_view& observed) {
   head_decision decision;
   {
     const std::lock_guard lock(mutex_);
     decision = DecideHead(*observed.view, observed.age, ExtractFacts(request),
                           splitter_);
   }
+  const bool too_late =
+      clock_.Now() + decision.plan.deadline > last_deadline_.load();
+  if (decision.refusal == refusal_reason::kNone && too_late) {
+    decision.refusal = refusal_reason::kLeaving;
+  }
+  return decision;
+}
+
+std::function<void()> caller_gate::OnRequest(http_request request,
+                                             response_callback reply) {
+  const observed_view observed = Observe();
+  const head_decision decision = DecideRequest(request, observed);
   if (decision.refusal != refusal_reason::kNone) {
     reply(RefuseHead(request, decision.refusal, observed));
     return nullptr;
--- a/daemon/caller_gate.h
+++ b/daemon/caller_gate.h
@@ -46,9 +46,11 @@
   // that is never reused; `cancel` cancels the call with that handle.
   void SetCallbacks(begin_call_function begin, cancel_call_function cancel);
   // From now on each connection is closed after its response. New requests are
-  // still accepted, until RefuseNewRequests().
+  // still accepted.
   void BeginDrain() { draining_ = true; }
-  void RefuseNewRequests() { refusing_ = true; }
+  // From now on requests whose deadline lies after `end` are refused, since
+  // their calls could be cut off then.
+  void RefuseBeyond(instant end) { last_deadline_ = end; }
   std::size_t in_flight() const;
 
   bool MayPipeline(const http_request& head) override;
@@ -86,6 +88,8 @@
   http_response RefuseHead(const http_request& head,
                            refusal_reason reason,
                            const observed_view& observed);
+  head_decision DecideRequest(const http_request& request,
+                              const observed_view& observed);
   std::string RequestIdFor(const http_request& head);
   observed_view Observe() const;
   static void AddViewFields(boost::json::object& fields,
@@ -102,7 +106,7 @@
   begin_call_function begin_call_;
   cancel_call_function cancel_call_;
   std::atomic<bool> draining_{false};
-  std::atomic<bool> refusing_{false};
+  std::atomic<instant> last_deadline_{instant::max()};
   std::atomic<std::uint64_t> last_call_{0};
   mutable std::mutex
       mutex_;  // guards the members below; locked after sender_mutex_
--- a/daemon/drain.cc
+++ b/daemon/drain.cc
@@ -53,6 +53,9 @@
 void daemon_internals::ContinueDrain() {
   const duration elapsed = clock_.Now() - drain_started_at_;
   const stop_plan plan = PlanThisStop();
+  if (elapsed >= plan.late_after) {
+    gate_.RefuseBeyond(drain_started_at_ + plan.timeout);
+  }
   if (elapsed < plan.notice) {
     return;
   }
--- a/tests/caller_gate_test.cc
+++ b/tests/caller_gate_test.cc
@@ -83,6 +83,25 @@
   EXPECT_EQ(StatusOf(Exchange(Get("/new/"))), 503);
 }
 
+// Guards against a request that came late in a planned stop, was sent to an
+// instance and was cut off by the end of the stop.
+TEST_F(gate_fixture, RequestThatCannotEndBeforeTheStopIsRefusedAsNotRun) {
+  const auto get_with_deadline = [](const std::string& deadline_ms) {
+    return "GET /a/ HTTP/1.1\r\nhost: h\r\nattempt-id: a1\r\n"
+           "connection: close\r\ndeadline-ms: " +
+           deadline_ms + "\r\n\r\n";
+  };
+  SetView({});
+  gate_->RefuseBeyond(clock_.Now() + milliseconds(500));
+  EXPECT_EQ(StatusOf(Exchange(get_with_deadline("400"))), 200);
+  for (const std::string& request : {get_with_deadline("600"), Get("/a/")}) {
+    const std::string response = Exchange(request);
+    EXPECT_EQ(StatusOf(response), 503);
+    EXPECT_NE(response.find("x-parsleyyard-reason: leaving"), std::string::npos)
+        << response;
+  }
+}
+
 // Guards against a 404 for a body that arrives while the view grows old.
 TEST_F(gate_fixture, RouteMissingWhenBodyHasArrivedGets503IfViewIsOldByThen) {
   SetView({});
