Log when the tests' evacuations were sent and acknowledged

The check of executions in an evacuated failure domain goes by the time at which the test noted the change. The log shows both ends of the write of each change, so that a failure near the end of an evacuation can be judged. No check changes.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -196,8 +196,11 @@
         """Evacuates a failure domain (out=NAME) or ends its evacuation (in_=NAME)."""
         (direction, domain), = change.items()
         direction = direction.rstrip("_")
+        sent_ms = int(time.time() * 1000)
         self.write_as_operator("op/evacuate/" + domain, {} if direction == "out" else None)
         self.evacuation_changes.append((int(time.time() * 1000), direction, domain))
+        with open(self.out_dir / "evacuations.log", "a") as log:
+            log.write(f"{direction} {domain} sent {sent_ms} acknowledged {self.evacuation_changes[-1][0]}\n")
 
     def set_store_fault(self, mode):
         fetch(f"{STORE_ADDRESS}/admin/fault?mode={mode}")
