--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -125,6 +125,56 @@
   });
 }
 
+// Responds to each range read with a page that another one follows.
+class endless_store : public http_handler {
+ public:
+  explicit endless_store(std::string items) : items_(std::move(items)) {}
+  std::optional<http_response> OnHead(const http_request& /*head*/) override {
+    return std::nullopt;
+  }
+  std::function<void()> OnRequest(http_request /*request*/,
+                                  response_callback reply) override {
+    reply(
+        {.body = R"({"items":[)" + items_ + R"(],"has-more":true,"as-of":7})"});
+    return nullptr;
+  }
+
+ private:
+  const std::string items_;
+};
+
+// Reads all of a store whose pages never end. True if the client reports a
+// failure, and false if it reports a result.
+bool EndlessReadFails(const std::string& items) {
+  worker_threads workers;
+  endless_store store(items);
+  http_server server(workers.context, {.address = kHost, .port = kStorePort},
+                     store);
+  EXPECT_TRUE(server.Listen());
+  read_listener listener;
+  platform::store_client client(
+      workers.context, {.address = kHost, .port = kStorePort}, listener);
+  auto failure = listener.failure.get_future();
+  auto state = listener.state.get_future();
+  client.ReadAll();
+  while (true) {
+    if (failure.wait_for(milliseconds(1)) == std::future_status::ready) {
+      return true;
+    }
+    if (state.wait_for(milliseconds(1)) == std::future_status::ready) {
+      return false;
+    }
+  }
+}
+
+TEST(StoreClient, ReadThatReachesItsLimitOfPagesMakesNoResult) {
+  EXPECT_TRUE(EndlessReadFails(R"({"key":"servers/x","rev":3,"value":""})"));
+}
+
+TEST(StoreClient, EmptyPageThatAnnouncesMoreMakesNoResult) {
+  EXPECT_TRUE(EndlessReadFails(""));
+}
+
 TEST(StoreClient, TellsIncompleteResponseFromNoResponse) {
   const std::string half = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf";
   for (const bool begins : {true, false}) {
