Show that an invalid registration takes its instance out rightly

The platform's page says of an entry by another writer that it names no instance to use, and that the others hold: the others are the other entries. To keep the last valid one would also hide a drain, since the entry that would announce it is gone.

The behaviour stays. A test is added for the way back, which passes on the old code too; Control.IgnoresInvalidRegistrations had the way out.

--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -135,6 +135,19 @@
             static_cast<std::size_t>(kDaemons - 1));
 }
 
+TEST(Control, InstanceIsBackWithItsNextValidRegistration) {
+  view_world world(kDaemons);
+  world.Run(seconds(2));
+  const std::string valid = InstanceText("10.0.0.4", "domain-3", "ready", 1);
+  world.store().Put("i/3", valid, world.now());
+  world.store().Put("i/3", "not a registration", world.now());
+  world.Run(seconds(1));
+  EXPECT_FALSE(world.View(0).instances.contains("3"));
+  world.store().Put("i/3", valid, world.now());
+  world.Run(seconds(1));
+  EXPECT_TRUE(world.View(0).instances.contains("3"));
+}
+
 // Guards against calls to instances that no longer exist but are still
 // registered, as after a power loss of all hosts (two recorded incidents).
 TEST(Control, UsesOnlyNewestInstanceAtAnAddress) {
