Let an entry of an unknown service replace no instance

What callers would see: an instance in use leaves the view, and the daemon beside it refuses its calls, once another writer registers its address under a service that does not exist, with a later start.

Cause: of the entries at one address the one that started last counts, whatever its service.

Change: an entry of a configured service goes before any other. Entries of unknown services stay in the view otherwise: no route leads to them, and they may be registered before the configuration that names them.

Evidence: on the old code the new test fails: control_test.cc:186 "Value of: keeper.Current()->instances.contains("own") Actual: false Expected: true".

--- a/control/view_items.cc
+++ b/control/view_items.cc
@@ -38,22 +38,34 @@
          std::tuple(b.started_ms, b.sequence);
 }
 
-// True if `a` started later than `b`. If the start times are equal or both
-// unknown: true if `a` was changed later in the store.
-bool IsNewer(const known_instance& a, const known_instance& b) {
-  return std::tuple(a.registration.started_ms, a.position) >
-         std::tuple(b.registration.started_ms, b.position);
+// True if the configuration of the view names the service of the instance.
+bool IsConfigured(const snapshot& view, const known_instance& known) {
+  return view.config && view.config->FindService(known.registration.service);
+}
+
+// True if `a` replaces `b` at their address: an instance of a configured
+// service replaces any other, a later start an earlier one. If the start times
+// are equal or both unknown, the later change in the store decides.
+bool Replaces(const snapshot& view,
+              const known_instance& a,
+              const known_instance& b) {
+  return std::tuple(IsConfigured(view, a), a.registration.started_ms,
+                    a.position) > std::tuple(IsConfigured(view, b),
+                                             b.registration.started_ms,
+                                             b.position);
 }
 
 // An instance that lost power stays registered for some seconds after another
 // has started at its address. Only the newest instance at an address can
-// respond.
+// respond. An entry of a service that the configuration doesn't name may come
+// from another writer and names no instance.
 void DropReplacedInstances(snapshot& view) {
   std::map<std::pair<host_address, std::uint16_t>, std::string> newest;
   for (const auto& [id, known] : view.instances) {
     std::string& newest_id =
         newest[{known.registration.host, known.registration.port}];
-    if (newest_id.empty() || IsNewer(known, view.instances.at(newest_id))) {
+    if (newest_id.empty() ||
+        Replaces(view, known, view.instances.at(newest_id))) {
       newest_id = id;
     }
   }
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -148,6 +148,45 @@
   EXPECT_TRUE(world.View(0).instances.contains("3"));
 }
 
+// The configuration names service "s" only, and instance "foreign" is of
+// another one.
+class one_service_decoder : public text_decoder {
+ public:
+  leaf::result<decoded_item> Decode(const std::string& key,
+                                    const std::string& value) const override {
+    if (key == "config") {
+      BOOST_LEAF_AUTO(config, configuration::Create(
+                                  {.version = 1, .services = {{.name = "s"}}}));
+      return decoded_item(std::move(config));
+    }
+    BOOST_LEAF_AUTO(item, text_decoder::Decode(key, value));
+    if (key == "i/foreign") {
+      std::get<instance>(item).service = "not configured";
+    }
+    return item;
+  }
+};
+
+// Guards against an instance that leaves the view since another writer names
+// its address.
+TEST(Control, EntryOfUnknownServiceReplacesNoInstanceAtItsAddress) {
+  manual_clock clock;
+  one_service_decoder decoder;
+  recording_environment environment;
+  view_keeper keeper({.address = "10.0.0.1"}, clock, decoder, environment,
+                     environment, environment);
+  keeper.Tick();
+  simulated_store store;
+  store.Put("config", "1", clock.now);
+  store.Put("i/own", InstanceText("10.0.0.4", "domain-3", "ready", 1),
+            clock.now);
+  store.Put("i/foreign", InstanceText("10.0.0.4", "domain-3", "ready", 2),
+            clock.now);
+  keeper.OnFullRead(store.AllItems());
+  EXPECT_TRUE(keeper.Current()->instances.contains("own"));
+  EXPECT_FALSE(keeper.Current()->instances.contains("foreign"));
+}
+
 // Guards against calls to instances that no longer exist but are still
 // registered, as after a power loss of all hosts (two recorded incidents).
 TEST(Control, UsesOnlyNewestInstanceAtAnAddress) {
