Tell when connecting or writing has timed out

What operators saw: `upstream_lost` for a write to an instance that ended with the timeout; what ran out while connecting or during a short write was not told from a broken connection.

Cause: http_exchange::timed_out was set by the reading of the response alone.

Change: each step sets it. A request that was not sent counts as not run as before.

Evidence: on the old code both new tests fail: http_client_test.cc:327 "Value of: exchange.timed_out Actual: false Expected: true", and ReportsTimeoutOfTheWrite with the same.

--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -85,9 +85,10 @@
                                     http_request request,
                                     exchange_options options,
                                     http_exchange& exchange);
-  asio::awaitable<bool> Connect(connection& conn);
+  asio::awaitable<bool> Connect(connection& conn, http_exchange& exchange);
   asio::awaitable<bool> Send(connection_ptr conn,
-                             std::shared_ptr<outgoing_request> outgoing);
+                             std::shared_ptr<outgoing_request> outgoing,
+                             http_exchange& exchange);
   asio::awaitable<bool> Receive(connection& conn,
                                 bool head_only,
                                 const exchange_options& options,
@@ -125,10 +126,12 @@
   }
 }
 
-asio::awaitable<bool> http_client_internals::Connect(connection& conn) {
+asio::awaitable<bool> http_client_internals::Connect(connection& conn,
+                                                     http_exchange& exchange) {
   const tcp::endpoint target(asio::ip::make_address_v4(options_.address),
                              options_.port);
   auto [error] = co_await conn.stream.async_connect(target, kNothrowAwaitable);
+  exchange.timed_out = error == beast::error::timeout;
   if (!error) {
     boost::system::error_code ignored;
     conn.stream.socket().set_option(tcp::no_delay(true), ignored);
@@ -140,11 +143,13 @@
 // still being written when this returns.
 asio::awaitable<bool> http_client_internals::Send(
     connection_ptr conn,
-    std::shared_ptr<outgoing_request> outgoing) {
+    std::shared_ptr<outgoing_request> outgoing,
+    http_exchange& exchange) {
   if (outgoing->message.body().size() <= kMaxAwaitedBodyBytes) {
     auto [error, size] = co_await http::async_write(
         conn->stream, outgoing->message, kNothrowAwaitable);
     outgoing->written = !error;
+    exchange.timed_out = error == beast::error::timeout;
     co_return !error;
   }
   asio::co_spawn(
@@ -229,7 +234,7 @@
   outgoing->message = ToBeastRequest(std::move(request), options_.address);
   conn->stream.expires_after(options.timeout);
   if (!conn->stream.socket().is_open()) {
-    const bool connected = co_await Connect(*conn);
+    const bool connected = co_await Connect(*conn, exchange);
     if (!connected) {
       co_return;
     }
@@ -238,7 +243,7 @@
     co_return;
   }
   exchange.sent = true;
-  const bool sending = co_await Send(conn, outgoing);
+  const bool sending = co_await Send(conn, outgoing, exchange);
   if (!sending) {
     co_return;
   }
--- a/net/net.h
+++ b/net/net.h
@@ -321,7 +321,7 @@
   bool sent = false;       // the server may have read part of the request
   bool begun = false;      // the head of a response arrived
   bool complete = false;   // the whole response arrived
-  bool timed_out = false;  // the response did not arrive within the timeout
+  bool timed_out = false;  // ended by the timeout, in whichever step
   bool aborted = false;    // ended by the function that Request() returned
   http_response response;  // valid if `complete`
 };
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -297,6 +297,41 @@
   EXPECT_FALSE(ended_in_request);
 }
 
+TEST(HttpClient, ReportsTimeoutOfTheConnection) {
+  worker_threads pool;
+  asio::io_context context;
+  tcp::acceptor full(context);
+  const tcp::endpoint endpoint(asio::ip::make_address_v4(kHost),
+                               scripted_server::kPort);
+  full.open(tcp::v4());
+  full.set_option(tcp::acceptor::reuse_address(true));
+  full.bind(endpoint);
+  full.listen(0);
+  tcp::socket queued(context);
+  queued.connect(endpoint);
+  const http_exchange exchange = RequestFromScriptedServer(
+      pool, {.method = "GET", .target = "/"}, milliseconds(300));
+  EXPECT_FALSE(exchange.sent);
+  EXPECT_TRUE(exchange.timed_out);
+}
+
+// The body is short, and the head fills all buffers.
+TEST(HttpClient, ReportsTimeoutOfTheWrite) {
+  worker_threads pool;
+  std::promise<void> exchange_ended;
+  scripted_server server(
+      [&](tcp::socket& /*socket*/) { exchange_ended.get_future().wait(); });
+  http_request request{.method = "GET", .target = "/"};
+  for (int i = 0; i < 300; ++i) {
+    request.headers.push_back({.name = "x", .value = std::string(60000, 'y')});
+  }
+  const http_exchange exchange =
+      RequestFromScriptedServer(pool, std::move(request), milliseconds(500));
+  exchange_ended.set_value();
+  EXPECT_TRUE(exchange.sent);
+  EXPECT_TRUE(exchange.timed_out);
+}
+
 TEST(HttpClient, ReportsRequestAsNotSentIfConnectionIsRefused) {
   worker_threads pool;
   http_client client(pool.context, {.address = kHost, .port = 18499});
