Connect to no other address if one can't be parsed

What callers would see: calls and view updates for a peer go to whatever listens at 127.0.0.1, for example with a wrong listen.other_region_prefix, whose text is not checked.

Cause: peer_mesh took the loopback address when the address did not parse. The HTTP client threw inside its coroutine instead, and never called back; Listen() of the mesh and of the server threw.

Change: the mesh reports the error (OnLinkError(), logged as `peer has no valid address`), then the link as down and its messages as undelivered. Listen() returns its net_error.

Evidence: on the old code mesh_test.cc:232 "error Which is: system:0 ... a connection to 127.0.0.1", http_client_test.cc:308 "ended.wait_for(seconds(2)) ... ready", and HttpServer.ListenReportsInvalidAddress "C++ exception with description "Invalid argument"".

--- a/daemon/daemon_internals.h
+++ b/daemon/daemon_internals.h
@@ -101,6 +101,7 @@
   void OnPeerStops(const host_address& peer) override;
   void OnLinkDown(const host_address& peer) override;
   void OnUndelivered(const host_address& to,
+  void OnLinkError(const host_address& peer, const net_error& error) override;
                      const any_message& message) override;
 
   // http_handler of the admin port
--- a/daemon/peer_wiring.cc
+++ b/daemon/peer_wiring.cc
@@ -91,6 +91,13 @@
   sender_.OnLinkDown(peer);
 }
 
+void daemon_internals::OnLinkError(const host_address& peer,
+                                   const net_error& error) {
+  log_.Write(log_kind::kProcess, log_level::kError, "daemon",
+             "peer has no valid address",
+             {{"peer", peer}, {"because", error.what}});
+}
+
 void daemon_internals::OnUndelivered(const host_address& to,
                                      const any_message& message) {
   if (std::holds_alternative<view_update>(message)) {
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -128,9 +128,16 @@
 
 asio::awaitable<bool> http_client_internals::Connect(connection& conn,
                                                      http_exchange& exchange) {
-  const tcp::endpoint target(asio::ip::make_address_v4(options_.address),
-                             options_.port);
-  auto [error] = co_await conn.stream.async_connect(target, kNothrowAwaitable);
+  boost::system::error_code address_error;
+  const auto address =
+      asio::ip::make_address_v4(options_.address, address_error);
+  if (address_error) {
+    exchange.error =
+        "can't connect to " + options_.address + ": " + address_error.message();
+    co_return false;
+  }
+  auto [error] = co_await conn.stream.async_connect(
+      tcp::endpoint(address, options_.port), kNothrowAwaitable);
   exchange.timed_out = error == beast::error::timeout;
   if (!error) {
     boost::system::error_code ignored;
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -24,12 +24,15 @@
 }  // namespace
 
 leaf::result<void> http_server_internals::Listen() {
-  const tcp::endpoint endpoint(asio::ip::make_address_v4(options_.address),
-                               options_.port);
   boost::system::error_code error;
-  acceptor_.open(tcp::v4(), error);
-  acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-  acceptor_.bind(endpoint, error);
+  const auto address = asio::ip::make_address_v4(options_.address, error);
+  if (!error) {
+    acceptor_.open(tcp::v4(), error);
+  }
+  if (!error) {
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    acceptor_.bind(tcp::endpoint(address, options_.port), error);
+  }
   if (!error) {
     acceptor_.listen(asio::socket_base::max_listen_connections, error);
   }
--- a/net/net.h
+++ b/net/net.h
@@ -35,6 +35,11 @@
 
 namespace asio = boost::asio;
 
+// Error of this layer: an address that is not valid or could not be bound.
+struct net_error {
+  std::string what;  // names the address, the port and the system error
+};
+
 // ---------------------------------------------------------------------------
 // 1. Clock and randomness
 // ---------------------------------------------------------------------------
@@ -84,9 +89,9 @@
   // Time for which a peer counts as unreachable after the stream to it ended or
   // could not be opened.
   duration unreachable_period = seconds(2);
-  // Returns the address to connect to for a peer. Empty function: the peer's
-  // own address. Called with the mutex of the mesh held, so it must not call
-  // the mesh.
+  // Returns the IPv4 address to connect to for a peer. Empty function: the
+  // peer's own address. Called with the mutex of the mesh held, so it must not
+  // call the mesh.
   std::function<host_address(const host_address&)> resolve;
 };
 
@@ -105,6 +110,10 @@
   virtual void OnPeerStops(const host_address& peer) = 0;
   // The outgoing stream to the peer ended or could not be opened.
   virtual void OnLinkDown(const host_address& peer) = 0;
+  // No stream can be opened to the peer, since the address to connect to is not
+  // valid; the error names it. OnLinkDown() and OnUndelivered() follow.
+  virtual void OnLinkError(const host_address& peer,
+                           const net_error& error) = 0;
   // The outgoing stream ended while `message` was still waiting for it to open,
   // or a field of the message exceeds its limit. Messages lost with a stream
   // that was up are not reported.
@@ -295,11 +304,6 @@
   std::shared_ptr<http_server_internals> internals_;
 };
 
-// Error of this layer: an address and port that could not be bound.
-struct net_error {
-  std::string what;  // names the address, the port and the system error
-};
-
 // ---------------------------------------------------------------------------
 // 4. HTTP client
 // ---------------------------------------------------------------------------
@@ -323,6 +327,7 @@
   bool complete = false;   // the whole response arrived
   bool timed_out = false;  // ended by the timeout, in whichever step
   bool aborted = false;    // ended by the function that Request() returned
+  std::string error;       // set if the server's address is not valid
   http_response response;  // valid if `complete`
 };
 
--- a/net/peer_mesh.cc
+++ b/net/peer_mesh.cc
@@ -81,7 +81,8 @@
   asio::awaitable<void> PauseAfterError();
   void CloseAcceptor();
   std::shared_ptr<stream_link> OpenStream(const host_address& peer);
-  asio::ip::address_v4 Resolve(const host_address& peer) const;
+  std::optional<asio::ip::address_v4> Resolve(const host_address& peer) const;
+  void FailToOpen(const std::shared_ptr<stream_link>& link);
   void SendOn(stream_link& link,
               const host_address& peer,
               const any_message& message,
@@ -102,12 +103,15 @@
 };
 
 leaf::result<void> mesh_internals::Listen() {
-  const auto address = asio::ip::make_address_v4(options_.address);
   boost::system::error_code error;
-  const tcp::endpoint endpoint(address, options_.port);
-  acceptor_.open(tcp::v4(), error);
-  acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-  acceptor_.bind(endpoint, error);
+  const auto address = asio::ip::make_address_v4(options_.address, error);
+  if (!error) {
+    acceptor_.open(tcp::v4(), error);
+  }
+  if (!error) {
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    acceptor_.bind(tcp::endpoint(address, options_.port), error);
+  }
   if (!error) {
     acceptor_.listen(asio::socket_base::max_listen_connections, error);
   }
@@ -145,11 +149,22 @@
   co_await timer.async_wait(kNothrowAwaitable);
 }
 
-asio::ip::address_v4 mesh_internals::Resolve(const host_address& peer) const {
+// Empty if the address to connect to is not valid.
+std::optional<asio::ip::address_v4> mesh_internals::Resolve(
+    const host_address& peer) const {
   boost::system::error_code error;
   const auto address = asio::ip::make_address_v4(
       options_.resolve ? options_.resolve(peer) : peer, error);
-  return error ? asio::ip::address_v4::loopback() : address;
+  return error ? std::nullopt : std::optional(address);
+}
+
+// Ends a stream to a peer without a valid address, on the strand of the stream.
+void mesh_internals::FailToOpen(const std::shared_ptr<stream_link>& link) {
+  const host_address address =
+      options_.resolve ? options_.resolve(link->peer) : link->peer;
+  listener_.OnLinkError(link->peer, {.what = "no IPv4 address: " + address});
+  link->Close();
+  OnClosed(link);
 }
 
 // Creates and starts the outgoing stream to a peer. The caller holds the mutex.
@@ -159,12 +174,18 @@
   tcp::socket socket(executor);
   boost::system::error_code error;
   socket.open(tcp::v4(), error);
-  socket.bind(tcp::endpoint(asio::ip::make_address_v4(options_.address), 0),
-              error);
+  const auto own_address = asio::ip::make_address_v4(options_.address, error);
+  socket.bind(tcp::endpoint(own_address, 0), error);
   auto link = std::make_shared<stream_link>(std::move(socket), options_, *this);
   link->outgoing = true;
   link->peer = peer;
-  const tcp::endpoint target(Resolve(peer), options_.port);
+  const auto address = Resolve(peer);
+  if (!address) {
+    asio::post(executor,
+               [self = shared_from_this(), link] { self->FailToOpen(link); });
+    return link;
+  }
+  const tcp::endpoint target(*address, options_.port);
   asio::post(executor, [link, target] { link->Start(target); });
   return link;
 }
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -297,6 +297,18 @@
   EXPECT_FALSE(ended_in_request);
 }
 
+// Fails after two seconds if the client never calls back.
+TEST(HttpClient, EndsRequestToInvalidAddressAsNotSent) {
+  worker_threads pool;
+  http_client client(pool.context, {.address = "127.x", .port = kHttpPort});
+  std::promise<http_exchange> done;
+  std::future<http_exchange> ended = done.get_future();
+  client.Request({.method = "GET", .target = "/"}, {.timeout = seconds(2)},
+                 [&](http_exchange e) { done.set_value(std::move(e)); });
+  ASSERT_EQ(ended.wait_for(seconds(2)), std::future_status::ready);
+  EXPECT_FALSE(ended.get().sent);
+}
+
 TEST(HttpClient, ReportsTimeoutOfTheConnection) {
   worker_threads pool;
   asio::io_context context;
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -192,6 +192,13 @@
   EXPECT_EQ(error, asio::error::connection_refused);
 }
 
+TEST(HttpServer, ListenReportsInvalidAddress) {
+  asio::io_context context;
+  body_size_handler handler(context);
+  http_server server(context, {.address = "127.x", .port = kHttpPort}, handler);
+  EXPECT_FALSE(server.Listen());
+}
+
 // After a pause of the server's process, both the request and the caller's
 // close wait in the kernel.
 TEST(HttpServer, DoesNotRunRequestOfDisconnectedCaller) {
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -32,7 +32,13 @@
                      const any_message& /*message*/) override {
     ++undelivered;
   }
+  void OnLinkError(const host_address& /*peer*/,
+                   const net_error& error) override {
+    EXPECT_NE(error.what, "");
+    ++link_errors;
+  }
   std::atomic<int> messages{0};
+  std::atomic<int> link_errors{0};
   std::atomic<int> peer_stops{0};
   std::atomic<int> link_downs{0};
   std::atomic<int> undelivered{0};
@@ -200,6 +206,41 @@
   b.Close();
 }
 
+// Guards against calls that reach whatever listens at 127.0.0.1.
+TEST(Mesh, PeerWithoutValidAddressGetsNoConnection) {
+  worker_threads pool;
+  asio::io_context context;
+  tcp::acceptor other(context,
+                      {asio::ip::make_address_v4("127.0.0.1"), kMeshPort});
+  other.non_blocking(true);
+  counting_listener listener;
+  peer_mesh mesh(
+      pool.context,
+      {.address = "127.9.0.2",
+       .port = kMeshPort,
+       .incarnation = 2,
+       .resolve = [](const host_address& peer) { return "127.x" + peer; }},
+      listener);
+  ASSERT_TRUE(ListenOn(mesh));
+  mesh.Send("127.9.0.3", call_cancel{}, send_mode::kOpenIfNeeded);
+  EXPECT_TRUE(Eventually([&] { return listener.undelivered == 1; }));
+  EXPECT_EQ(listener.link_errors, 1);
+  EXPECT_EQ(listener.link_downs, 1);
+  EXPECT_FALSE(mesh.IsReachable("127.9.0.3"));
+  boost::system::error_code error;
+  other.accept(error);
+  EXPECT_EQ(error, asio::error::would_block) << "a connection to 127.0.0.1";
+  mesh.Close();
+}
+
+TEST(Mesh, ListenReportsInvalidAddress) {
+  worker_threads pool;
+  counting_listener listener;
+  peer_mesh mesh(pool.context, {.address = "127.x", .port = kMeshPort},
+                 listener);
+  EXPECT_FALSE(ListenOn(mesh));
+}
+
 // Guards against a daemon that ends with an exception on one long message.
 TEST(Mesh, ReportsMessageBeyondTheWireLimitsAsUndelivered) {
   worker_threads pool;
