Find the keep-alive timeout in any case and bound it

What callers could see: a request that crosses the close of an idle connection, if an instance writes `Timeout=`; and connections that are never used again after a huge value, which overflowed.

Cause: the client searched the field for `timeout=` in lower case, anywhere, and multiplied what followed.

Change: the field is split into its parameters, names are compared in any case, a value above one hour counts as one hour, and one that is no number as absent.

Evidence: on the old code http_client_test.cc:389 "Which is: 1 2" (Timeout=0), :390 (TIMEOUT=0), :395 and :396 "Which is: 2 1" (values that overflow), :400 (no number).

--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -4,6 +4,9 @@
 #include "net/read_body.h"
 #include "net/socket_peek.h"
 
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -14,6 +17,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+#include <charconv>
 #include <mutex>
 
 namespace parsleyyard {
@@ -45,6 +50,8 @@
 // Percentage of the server's keep-alive timeout for which an idle connection
 // may be reused. The margin keeps a request from crossing the server's close.
 constexpr int kReusePercent = 60;
+// A longer keep-alive timeout of a server counts as this.
+constexpr duration kMaxKeepAlive = std::chrono::hours(1);
 // A request with a body up to this size fits into any socket buffer. It is
 // written whole before the response is read.
 constexpr std::size_t kMaxAwaitedBodyBytes = 2048;
@@ -66,6 +73,47 @@
   return message;
 }
 
+// Parses a number of whole seconds, as a keep-alive field states its timeout.
+// A longer time than kMaxKeepAlive counts as that. Empty if it is no number.
+std::optional<duration> ParseKeepAliveTimeout(std::string_view text) {
+  const char* end = text.data() + text.size();
+  std::uint64_t timeout_s = 0;
+  const auto [parsed_end, error] = std::from_chars(text.data(), end, timeout_s);
+  if (error == std::errc::result_out_of_range) {
+    return kMaxKeepAlive;
+  }
+  if (error != std::errc() || parsed_end != end) {
+    return std::nullopt;
+  }
+  constexpr std::uint64_t kMaxSeconds =
+      std::chrono::duration_cast<std::chrono::seconds>(kMaxKeepAlive).count();
+  return std::chrono::seconds(std::min(timeout_s, kMaxSeconds));
+}
+
+// Returns the time for which an idle connection may be reused: kReusePercent of
+// the timeout that the response's keep-alive field states in whole seconds.
+// Empty if the field or its timeout is absent or not valid.
+std::optional<duration> ParseReuseTime(const http_response& response) {
+  const std::string* field = FindHeader(response.headers, "keep-alive");
+  if (field == nullptr) {
+    return std::nullopt;
+  }
+  std::vector<std::string> parameters;
+  boost::split(parameters, *field, boost::is_any_of(","));
+  for (const std::string& parameter : parameters) {
+    const std::size_t equals = parameter.find('=');
+    const std::string name = boost::trim_copy(parameter.substr(0, equals));
+    if (equals == std::string::npos || !beast::iequals(name, "timeout")) {
+      continue;
+    }
+    const auto timeout =
+        ParseKeepAliveTimeout(boost::trim_copy(parameter.substr(equals + 1)));
+    return timeout ? std::optional(*timeout * kReusePercent / 100)
+                   : std::nullopt;
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 class http_client_internals
@@ -214,23 +262,6 @@
   co_return false;
 }
 
-// Returns the time for which an idle connection may be reused: kReusePercent of
-// the timeout that the response's keep-alive field states in whole seconds.
-// Empty if the field or its timeout is absent.
-std::optional<duration> ParseReuseTime(const http_response& response) {
-  const http_request as_request{.headers = response.headers};
-  const std::string* keep_alive_field = as_request.Find("keep-alive");
-  const std::size_t at =
-      keep_alive_field ? keep_alive_field->find("timeout=") : std::string::npos;
-  if (at == std::string::npos) {
-    return std::nullopt;
-  }
-  constexpr std::size_t kTimeoutNameLength = 8;
-  const long timeout_s = std::strtol(
-      keep_alive_field->c_str() + at + kTimeoutNameLength, nullptr, 10);
-  return duration(std::chrono::seconds(timeout_s)) * kReusePercent / 100;
-}
-
 asio::awaitable<void> http_client_internals::RunExchange(
     connection_ptr conn,
     http_request request,
--- a/net/net.h
+++ b/net/net.h
@@ -316,7 +316,7 @@
   std::size_t max_receiving_bytes = 32 << 20;
   std::size_t max_idle_connections = 64;  // connections kept for reuse
   // Time for which an idle connection may be reused if the server's response
-  // has no keep-alive field with a timeout.
+  // has no keep-alive field with a valid timeout.
   duration idle_timeout = milliseconds(800);
 };
 
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -344,6 +344,63 @@
   EXPECT_TRUE(exchange.timed_out);
 }
 
+// Responds to two requests with the keep-alive field and returns the number of
+// connections that they came on.
+int ConnectionsForTwoRequests(const std::string& keep_alive) {
+  worker_threads pool;
+  asio::io_context context;
+  tcp::acceptor acceptor(
+      context, {asio::ip::make_address_v4(kHost), scripted_server::kPort});
+  http_client client(pool.context,
+                     {.address = kHost, .port = scripted_server::kPort});
+  const std::string response = "HTTP/1.1 200 OK\r\nkeep-alive: " + keep_alive +
+                               "\r\ncontent-length: 0\r\n\r\n";
+  std::vector<tcp::socket> accepted;
+  for (int i = 0; i < 2; ++i) {
+    std::promise<void> done;
+    client.Request({.method = "GET", .target = "/"}, {.timeout = seconds(2)},
+                   [&](const http_exchange&) { done.set_value(); });
+    acceptor.non_blocking(i > 0);
+    boost::system::error_code error = asio::error::would_block;
+    std::array<char, 1> byte{};
+    while (true) {
+      tcp::socket socket = acceptor.accept(error);
+      if (!error) {
+        accepted.push_back(std::move(socket));
+        break;
+      }
+      accepted.back().non_blocking(true);
+      accepted.back().receive(asio::buffer(byte), tcp::socket::message_peek,
+                              error);
+      if (!error) {
+        break;
+      }
+    }
+    accepted.back().non_blocking(false);
+    ReadHead(accepted.back());
+    WriteText(accepted.back(), response);
+    done.get_future().wait();
+  }
+  return static_cast<int>(accepted.size());
+}
+
+TEST(HttpClient, FindsKeepAliveTimeoutInAnyCase) {
+  EXPECT_EQ(ConnectionsForTwoRequests("timeout=0"), 2);
+  EXPECT_EQ(ConnectionsForTwoRequests("max=9, Timeout=0"), 2);
+  EXPECT_EQ(ConnectionsForTwoRequests("TIMEOUT=0"), 2);
+  EXPECT_EQ(ConnectionsForTwoRequests("timeout=5"), 1);
+}
+
+TEST(HttpClient, BoundsKeepAliveTimeout) {
+  EXPECT_EQ(ConnectionsForTwoRequests("timeout=9223372036854775807"), 1);
+  EXPECT_EQ(ConnectionsForTwoRequests("timeout=99999999999999999999"), 1);
+}
+
+TEST(HttpClient, IgnoresKeepAliveTimeoutThatIsNoNumber) {
+  EXPECT_EQ(ConnectionsForTwoRequests("timeout=soon"), 1);
+  EXPECT_EQ(ConnectionsForTwoRequests("no-timeout=0"), 1);
+}
+
 TEST(HttpClient, ReportsRequestAsNotSentIfConnectionIsRefused) {
   worker_threads pool;
   http_client client(pool.context, {.address = kHost, .port = 18499});
