Apply reloads one after the other

What operators could see: a daemon that ends with a damaged heap, or the older settings in force, if two reloads come together (a signal and a change of the file) and process.workers is above 1.

Cause: each reload was posted to the io_context, and two threads changed settings_.

Change: reloads run on a strand, in the order of their arrival. A lock was weighed: it keeps the memory whole, but not the order.

Evidence: by reading only.

--- a/daemon/daemon_internals.h
+++ b/daemon/daemon_internals.h
@@ -25,6 +25,7 @@
 #include "net/net.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
 
 #include <mutex>
 #include <string>
@@ -100,8 +101,8 @@
   void OnLinkUp(const host_address& peer, std::uint64_t incarnation) override;
   void OnPeerStops(const host_address& peer) override;
   void OnLinkDown(const host_address& peer) override;
-  void OnUndelivered(const host_address& to,
   void OnLinkError(const host_address& peer, const net_error& error) override;
+  void OnUndelivered(const host_address& to,
                      const any_message& message) override;
 
   // http_handler of the admin port
@@ -134,12 +135,16 @@
   std::string RenderExplainPage(const std::string& target);
 
   // Reload() changes only process.log_level, process.log_good_calls and
-  // platform.bounds, which nothing else reads after the constructor.
+  // platform.bounds, on reload_strand_. Nothing else reads these after the
+  // constructor.
   daemon_settings settings_;
   const std::uint64_t incarnation_;
   const monotonic_clock clock_;
   locked_random random_;
   asio::io_context context_;
+  // Reloads are applied one after the other, in the order of their arrival.
+  asio::strand<asio::io_context::executor_type> reload_strand_ =
+      asio::make_strand(context_);
   event_log log_;
   shared_view view_;
   metrics metrics_;
--- a/daemon/reload.cc
+++ b/daemon/reload.cc
@@ -21,7 +21,7 @@
 
 void daemon_internals::Reload(const daemon_settings& settings,
                               const platform_limits& limits) {
-  asio::post(context_, [this, settings, limits] {
+  asio::post(reload_strand_, [this, settings, limits] {
     boost::json::array applied;
     boost::json::array needs_restart;
     for (const std::string& name : ChangedSettings(settings_, settings)) {
