Initialise the time that the settings watch compares with

What operators could see: a settings file that was missing at the start and then appears is not loaded, if what lay in the memory equals its time.

Cause: ModificationTime() returned the member that it was about to initialise.

Change: the member has the earliest time first.

Evidence: on the old code reload_test.cc:76 "Value of: seen Actual: false Expected: true".

--- a/daemon/settings_watch.cc
+++ b/daemon/settings_watch.cc
@@ -16,8 +16,9 @@
                                std::function<void()> on_changed)
     : file_(std::move(file)),
       on_changed_(std::move(on_changed)),
-      timer_(context),
-      last_modified_(ModificationTime()) {}
+      timer_(context) {
+  last_modified_ = ModificationTime();
+}
 
 // Returns the last known modification time if the file is missing, since a file
 // that is being replaced can be missing for a moment.
--- a/daemon/settings_watch.h
+++ b/daemon/settings_watch.h
@@ -29,7 +29,9 @@
   const std::string file_;
   const std::function<void()> on_changed_;
   boost::asio::steady_timer timer_;
-  std::filesystem::file_time_type last_modified_;
+  // The earliest time if the file was never there.
+  std::filesystem::file_time_type last_modified_ =
+      std::filesystem::file_time_type::min();
 };
 
 }  // namespace parsleyyard
