Log calls whose caller disconnects

What operators saw: no line of the entry daemon about a call whose caller left, so that its steps were lost when it had to be traced.

Change: `caller disconnected` with request, route, service and time, behind the steps of the call, as for a call that failed.

Evidence: on the old code caller_gate_test.cc:66 "Value of: line.empty() Actual: true Expected: false".

--- a/daemon/caller_gate.cc
+++ b/daemon/caller_gate.cc
@@ -257,12 +257,29 @@
                             .started_at = clock_.Now()};
   }
   begin_call_(call, decision.plan, std::move(message));
-  return [this, call, request_id] {
-    cancel_call_(call);
+  return [this, call] { OnDisconnect(call); };
+}
+
+// Ends a call whose caller has disconnected, and logs it as LogCallEnd() does.
+void caller_gate::OnDisconnect(std::uint64_t call) {
+  cancel_call_(call);
+  pending_call ended;
+  {
     const std::lock_guard lock(mutex_);
-    pending_calls_.erase(call);
-    steps_by_request_.erase(request_id);
-  };
+    const auto found = pending_calls_.find(call);
+    if (found == pending_calls_.end()) {
+      return;
+    }
+    ended = std::move(found->second);
+    pending_calls_.erase(found);
+  }
+  LogSteps(ended, TakeSteps(ended.record.request));
+  log_.Write(log_kind::kFailedCall, log_level::kInfo, "call",
+             "caller disconnected",
+             {{"request", ended.record.request},
+              {"route", ended.record.route},
+              {"service", ended.record.service},
+              {"took_ms", (clock_.Now() - ended.started_at).count() / 1000}});
 }
 
 void caller_gate::OnCallEvent(const call_event_line& line) {
@@ -270,29 +287,39 @@
   steps_by_request_[line.request].push_back({.line = line, .at = clock_.Now()});
 }
 
+// Returns the steps of the request's call, and keeps them no longer.
+std::vector<caller_gate::call_step> caller_gate::TakeSteps(
+    const std::string& request) {
+  const std::lock_guard lock(mutex_);
+  const auto found = steps_by_request_.find(request);
+  if (found == steps_by_request_.end()) {
+    return {};
+  }
+  std::vector<call_step> steps = std::move(found->second);
+  steps_by_request_.erase(found);
+  return steps;
+}
+
+void caller_gate::LogSteps(const pending_call& ended,
+                           const std::vector<call_step>& steps) {
+  for (const call_step& step : steps) {
+    boost::json::object fields = LogFieldsFor(step.line);
+    fields["after_ms"] = (step.at - ended.started_at).count() / 1000;
+    log_.Write(log_kind::kFailedCall, log_level::kInfo, "call", step.line.event,
+               std::move(fields));
+  }
+}
+
 // Logs the end of a call. A call that failed or took more than one step is
 // logged with all its steps; of the other calls, only a sample is logged.
 void caller_gate::LogCallEnd(const pending_call& ended) {
-  std::vector<call_step> steps;
-  {
-    const std::lock_guard lock(mutex_);
-    const auto found = steps_by_request_.find(ended.record.request);
-    if (found != steps_by_request_.end()) {
-      steps = std::move(found->second);
-      steps_by_request_.erase(found);
-    }
-  }
+  const std::vector<call_step> steps = TakeSteps(ended.record.request);
   const bool succeeded_at_once =
       ended.record.outcome == call_outcome::kAnswer && steps.size() <= 1;
   const log_kind kind =
       succeeded_at_once ? log_kind::kGoodCall : log_kind::kFailedCall;
-  for (const call_step& step : steps) {
-    boost::json::object fields = LogFieldsFor(step.line);
-    fields["after_ms"] = (step.at - ended.started_at).count() / 1000;
-    if (!succeeded_at_once) {
-      log_.Write(kind, log_level::kInfo, "call", step.line.event,
-                 std::move(fields));
-    }
+  if (!succeeded_at_once) {
+    LogSteps(ended, steps);
   }
   log_.Write(kind, log_level::kInfo, "call", "ended",
              {{"request", ended.record.request},
--- a/daemon/caller_gate.h
+++ b/daemon/caller_gate.h
@@ -91,6 +91,9 @@
   static void AddViewFields(boost::json::object& fields,
                             const observed_view& observed);
   void LogCallEnd(const pending_call& ended);
+  void OnDisconnect(std::uint64_t call);
+  std::vector<call_step> TakeSteps(const std::string& request);
+  void LogSteps(const pending_call& ended, const std::vector<call_step>& steps);
 
   const daemon_settings& settings_;
   const std::uint64_t incarnation_;
--- a/tests/caller_gate_test.cc
+++ b/tests/caller_gate_test.cc
@@ -46,6 +46,31 @@
       << page;
 }
 
+TEST_F(gate_fixture, DisconnectOfCallerLeavesLineWithStepsOfItsCall) {
+  SetView({});
+  gate_->SetCallbacks(
+      [this](std::uint64_t, const call_plan&, const call_request& message) {
+        gate_->OnCallEvent({.event = "sent", .request = message.request_id});
+      },
+      [](std::uint64_t) {});
+  const auto disconnect =
+      gate_->OnRequest({.method = "GET",
+                        .target = "/a/",
+                        .headers = {{.name = "host", .value = "h"},
+                                    {.name = "attempt-id", .value = "a1"}}},
+                       [](const http_response&) { FAIL(); });
+  ASSERT_NE(disconnect, nullptr);
+  clock_.Set(clock_.Now() + milliseconds(250));
+  disconnect();
+  const boost::json::object line = LastLine("caller disconnected");
+  ASSERT_FALSE(line.empty());
+  EXPECT_EQ(line.at("request").as_string(), "a1");
+  EXPECT_EQ(line.at("route").as_string(), "a");
+  EXPECT_EQ(line.at("took_ms").to_number<int>(), 250);
+  EXPECT_EQ(LastLine("sent").at("request").as_string(), "a1");
+  EXPECT_EQ(gate_->in_flight(), 0u);
+}
+
 TEST_F(gate_fixture, SlowRequestLeavesLineAndCount) {
   SetView({.header_timeout = milliseconds(50)});
   const std::string response = Exchange("GET /a/ HTTP/1.1\r\nhost: h\r\n");
