Reject registrations whose counts are no whole numbers

Cause: `slots`, `seq-no` and `born` were read as numbers and truncated; one above 2^64 is undefined when converted.

Change: they must be whole and at most 2^53, up to which a JSON number is exact. Otherwise the entry names no instance, as with any field of another type.

Evidence: on the old code platform_test.cc:109, :112 and :115 fail: 'Which is: "instance"' for slots 2.5, seq-no 4.5 and born 1e300.

--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -106,6 +106,15 @@
             "is somewhere");
   EXPECT_EQ(registration("\"slots\":12", "\"slots\":\"12\""),
             "servers/i-1, field slots: must be a number");
+  EXPECT_EQ(registration("\"slots\":12", "\"slots\":2.5"),
+            "servers/i-1, field slots: must be a whole number from 1 to "
+            "100000");
+  EXPECT_EQ(registration("\"seq-no\":4", "\"seq-no\":4.5"),
+            "servers/i-1, field seq-no: must be a whole number from 0 to "
+            "9007199254740992");
+  EXPECT_EQ(registration("\"born\":1700000000000", "\"born\":1e300"),
+            "servers/i-1, field born: must be a whole number from 0 to "
+            "9007199254740992");
   EXPECT_EQ(registration("\"service\":\"a\",", ""),
             "servers/i-1, field service: must be a string");
   EXPECT_EQ(DecodeOutcome("servers/i-1", "\xff\xfe"),
