Report left-over bytes and missing sizes of frames as what they are

A frame with bytes left over was `too short`, a compressed body that states no size `too long`. They are `too long` and `damaged`; both are rejected as before.

Evidence: on the old code wire_settings_test.cc:77 'ErrorOf(frame + "x") Which is: "too short"' and :83 'ErrorOf(frame) Which is: "too long"'.

--- a/tests/wire_settings_test.cc
+++ b/tests/wire_settings_test.cc
@@ -71,6 +71,18 @@
   EXPECT_EQ(ErrorOf(frame), "too long");
 }
 
+TEST(Wire, TellsLeftOverBytesFromMissingOnes) {
+  const std::string frame = ValidFrame();
+  EXPECT_EQ(ErrorOf(frame.substr(0, frame.size() - 1)), "too short");
+  EXPECT_EQ(ErrorOf(frame + "x"), "too long");
+}
+
+TEST(Wire, ReportsCompressedBodyWithoutSizeAsDamaged) {
+  std::string frame = ValidFrame();
+  frame[7] = static_cast<char>(0x80);  // marks the body as compressed
+  EXPECT_EQ(ErrorOf(frame), "damaged");
+}
+
 // A length field inside a message may claim gigabytes; the decoder must not
 // allocate them.
 TEST(Wire, ChecksInnerLengthsBeforeAllocation) {
--- a/wire/wire.cc
+++ b/wire/wire.cc
@@ -71,8 +71,10 @@
 // Returns the uncompressed body.
 leaf::result<std::string> DecompressBody(std::string_view body) {
   const auto size = ZSTD_getFrameContentSize(body.data(), body.size());
-  if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN ||
-      size > kMaxFrameBytes) {
+  if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN) {
+    return leaf::new_error(wire_error::kDamaged);
+  }
+  if (size > kMaxFrameBytes) {
     return leaf::new_error(wire_error::kTooLong);
   }
   std::string plain(size, '\0');
@@ -138,7 +140,9 @@
 leaf::result<any_message> Decode(std::string_view frame) {
   BOOST_LEAF_AUTO(length, BodyLength(frame));
   if (frame.size() != kFrameHeaderBytes + length) {
-    return leaf::new_error(wire_error::kTooShort);
+    const bool incomplete = frame.size() < kFrameHeaderBytes + length;
+    return leaf::new_error(incomplete ? wire_error::kTooShort
+                                      : wire_error::kTooLong);
   }
   const std::uint16_t type = load_little_u16(Bytes(frame) + 6);
   const std::string_view body = frame.substr(kFrameHeaderBytes);
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -32,15 +32,16 @@
 
 // Why a frame cannot be decoded.
 enum class wire_error : std::uint8_t {
-  // The frame is shorter than a header, or its size differs from its length
-  // field.
+  // The frame is shorter than a header or than its length field says.
   kTooShort,
-  // The length field or the uncompressed size exceeds kMaxFrameBytes, or the
-  // uncompressed size is not stated.
+  // The frame is longer than its length field says, or the length field or the
+  // uncompressed size exceeds kMaxFrameBytes.
   kTooLong,
   kOtherVersion,  // the peer uses another format version
   kUnknownType,   // no message has the type in the header
-  kDamaged,       // the body is malformed or exceeds a bound of the schema
+  // The body is malformed or exceeds a bound of the schema, or a compressed one
+  // does not state its uncompressed size.
+  kDamaged,
 };
 inline constexpr std::array<std::string_view, 5> kWireErrorNames = {
     "too short", "too long", "other format version", "unknown type", "damaged"};
