Announce the close with each last response

What callers could see: a request that ends without a response, since it follows a response that did not announce the close of the connection.

Cause: a refusal or a rejection was written while its own request still counted as being read, so that another response seemed to follow it: 400, 408, 413, 431 and refusals of a request with a body were written without `Connection: close`, and so was a refusal without a body during a stop. And a stop that began while a keep-alive response was being written ended the reading, though the close could not be announced any more.

Change: the reading of a request ends when its response is queued, and it is known before whether another one is read. With the last response on its way, the session reads on; the next request gets the close, or CloseIdle() the 408.

Evidence: on the old code http_server_test.cc:164 (four requests) and :178 fail: 'response.find("Connection: close") != npos', and http_pipelining_test.cc:464 "handler.requests Which is: 1 2".

--- a/net/http_server_internals.h
+++ b/net/http_server_internals.h
@@ -134,6 +134,7 @@
   asio::awaitable<bool> ReadRequestBody(incoming_request& incoming);
   asio::awaitable<void> WriteContinue(unsigned version);
   bool IsClosing() const;
+  bool HasUnwritten() const;
   bool HasRoom() const;
   bool RefuseHead(const incoming_request& incoming);
   void RejectUnlessClosed(http_rejection rejection,
--- a/net/http_session.cc
+++ b/net/http_session.cc
@@ -260,6 +260,11 @@
   return closing_ || server_->stopping_;
 }
 
+// True if there is a response to write that can still announce the close.
+bool http_session::HasUnwritten() const {
+  return queue_.size() > (writing_ ? 1 : 0);
+}
+
 // True if another request may be started while earlier ones are pending.
 bool http_session::HasRoom() const {
   const http_server_options& options = server_->options_;
@@ -273,8 +278,7 @@
 // response, after the idle timeout or at a graceful stop.
 asio::awaitable<bool> http_session::AwaitRequest() {
   while (!caller_closed_) {
-    const bool stopped = !queue_.empty() && IsClosing();
-    if (stopped || response_closed_) {
+    if (response_closed_ || (IsClosing() && HasUnwritten())) {
       co_return false;
     }
     if (buffer_.size() > 0 && HasRoom()) {
@@ -324,7 +328,7 @@
     co_return false;
   }
   if (RefuseHead(incoming)) {
-    co_return incoming.parser.is_done() && incoming.parser.get().keep_alive();
+    co_return !reading_ended_;
   }
   const bool body_read = co_await ReadRequestBody(incoming);
   if (!body_read) {
@@ -371,6 +375,8 @@
   if (!refusal) {
     return false;
   }
+  const request_parser& parser = incoming.parser;
+  reading_ended_ = !parser.is_done() || !parser.get().keep_alive();
   Respond(incoming, std::move(*refusal));
   return true;
 }
@@ -424,12 +430,15 @@
   if (!response) {
     response = BuildNotRunResponse(rejection.status, RejectionText(rejection));
   }
+  reading_ended_ = true;
   Respond(incoming, std::move(*response));
 }
 
-// Adds a response that waits for its turn.
+// Adds a response that waits for its turn, and ends the reading of its request.
+// Set reading_ended_ before if no further request is read.
 void http_session::Respond(const incoming_request& incoming,
                            http_response response) {
+  reading_request_ = false;
   const auto& head = incoming.parser.get();
   queue_.Add({.version = head.version(),
               .head_only = head.method() == http::verb::head,
--- a/tests/http_pipelining_test.cc
+++ b/tests/http_pipelining_test.cc
@@ -5,6 +5,7 @@
 #include "tests/net_fixtures.h"
 
 #include <gtest/gtest.h>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 
 #include <condition_variable>
@@ -432,6 +433,38 @@
   EXPECT_LT(handled, 50u);
 }
 
+// Guards against requests without a response: the response before did not
+// announce the close, since it was being written when the stop began.
+TEST(HttpServer, StopAnswersRequestBehindAResponseThatIsBeingWritten) {
+  asio::io_context context;
+  large_response_handler handler;
+  http_server server(context, {.address = kHost, .port = kPort}, handler);
+  ASSERT_TRUE(server.Listen());
+  asio::io_context callers;
+  tcp::socket caller(callers);
+  caller.connect({asio::ip::make_address_v4(kHost), kPort});
+  WriteText(caller, Get(1));
+  while (handler.requests == 0) {
+    context.run_one();
+  }
+  context.poll();
+  server.StopAccepting();
+  WriteText(caller, Get(2));
+  context.run_for(milliseconds(50));
+  std::thread worker([&] {
+    while (!server.IsClosed()) {
+      context.run_one();
+    }
+  });
+  std::string received;
+  boost::system::error_code error;
+  asio::read(caller, asio::dynamic_buffer(received), error);
+  caller.close();
+  worker.join();
+  EXPECT_EQ(handler.requests, 2);
+  EXPECT_NE(received.find("Connection: close"), std::string::npos);
+}
+
 // ---------------------------------------------------------------------------
 // Order of responses
 // ---------------------------------------------------------------------------
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -146,6 +146,38 @@
   EXPECT_NE(response.find("x-parsleyyard-outcome: not_run"), std::string::npos);
 }
 
+// Guards against requests without a response: a caller sent the next one on a
+// connection that the server was about to close.
+TEST_F(http_fixture, ResponseThatClosesTheConnectionSaysSo) {
+  const std::string close = "Connection: close";
+  for (const std::string& request :
+       {std::string("POST /refused HTTP/1.1\r\nhost: a\r\n"
+                    "content-length: 3\r\n\r\nabc"),
+        std::string("GET / HTTP/1.1\r\nhost : a\r\n\r\n"),
+        "GET /" + std::string(5000, 'x') + " HTTP/1.1\r\nhost: a\r\n\r\n",
+        std::string("POST / HTTP/1.1\r\nhost: a\r\n"
+                    "content-length: 20000\r\n\r\n")}) {
+    asio::io_context context;
+    tcp::socket socket = Connect(context);
+    WriteText(socket, request);
+    const std::string response = ReadAll(socket);
+    EXPECT_NE(response.find(close), std::string::npos) << response;
+  }
+}
+
+TEST_F(http_fixture, RefusalDuringAStopSaysThatItCloses) {
+  asio::io_context context;
+  tcp::socket socket = Connect(context);
+  WriteText(socket, kGet);
+  std::string first(1, '\0');
+  asio::read(socket, asio::buffer(first));
+  server_.StopAccepting();
+  WriteText(socket, "GET /refused HTTP/1.1\r\nhost: a\r\n\r\n");
+  const std::string response = ReadAll(socket);
+  EXPECT_NE(response.find("421"), std::string::npos) << response;
+  EXPECT_NE(response.find("Connection: close"), std::string::npos) << response;
+}
+
 TEST_F(http_fixture, StopClosesIdleConnectionsAndListener) {
   asio::io_context context;
   std::vector<tcp::socket> idle;
