--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -297,6 +297,110 @@
   EXPECT_FALSE(ended_in_request);
 }
 
+// Fails after two seconds if the client never calls back.
+TEST(HttpClient, EndsRequestToInvalidAddressAsNotSent) {
+  worker_threads pool;
+  http_client client(pool.context, {.address = "127.x", .port = kHttpPort});
+  std::promise<http_exchange> done;
+  std::future<http_exchange> ended = done.get_future();
+  client.Request({.method = "GET", .target = "/"}, {.timeout = seconds(2)},
+                 [&](http_exchange e) { done.set_value(std::move(e)); });
+  ASSERT_EQ(ended.wait_for(seconds(2)), std::future_status::ready);
+  EXPECT_FALSE(ended.get().sent);
+}
+
+TEST(HttpClient, ReportsTimeoutOfTheConnection) {
+  worker_threads pool;
+  asio::io_context context;
+  tcp::acceptor full(context);
+  const tcp::endpoint endpoint(asio::ip::make_address_v4(kHost),
+                               scripted_server::kPort);
+  full.open(tcp::v4());
+  full.set_option(tcp::acceptor::reuse_address(true));
+  full.bind(endpoint);
+  full.listen(0);
+  tcp::socket queued(context);
+  queued.connect(endpoint);
+  const http_exchange exchange = RequestFromScriptedServer(
+      pool, {.method = "GET", .target = "/"}, milliseconds(300));
+  EXPECT_FALSE(exchange.sent);
+  EXPECT_TRUE(exchange.timed_out);
+}
+
+// The body is short, and the head fills all buffers.
+TEST(HttpClient, ReportsTimeoutOfTheWrite) {
+  worker_threads pool;
+  std::promise<void> exchange_ended;
+  scripted_server server(
+      [&](tcp::socket& /*socket*/) { exchange_ended.get_future().wait(); });
+  http_request request{.method = "GET", .target = "/"};
+  for (int i = 0; i < 300; ++i) {
+    request.headers.push_back({.name = "x", .value = std::string(60000, 'y')});
+  }
+  const http_exchange exchange =
+      RequestFromScriptedServer(pool, std::move(request), milliseconds(500));
+  exchange_ended.set_value();
+  EXPECT_TRUE(exchange.sent);
+  EXPECT_TRUE(exchange.timed_out);
+}
+
+// Responds to two requests with the keep-alive field and returns the number of
+// connections that they came on.
+int ConnectionsForTwoRequests(const std::string& keep_alive) {
+  worker_threads pool;
+  asio::io_context context;
+  tcp::acceptor acceptor(
+      context, {asio::ip::make_address_v4(kHost), scripted_server::kPort});
+  http_client client(pool.context,
+                     {.address = kHost, .port = scripted_server::kPort});
+  const std::string response = "HTTP/1.1 200 OK\r\nkeep-alive: " + keep_alive +
+                               "\r\ncontent-length: 0\r\n\r\n";
+  std::vector<tcp::socket> accepted;
+  for (int i = 0; i < 2; ++i) {
+    std::promise<void> done;
+    client.Request({.method = "GET", .target = "/"}, {.timeout = seconds(2)},
+                   [&](const http_exchange&) { done.set_value(); });
+    acceptor.non_blocking(i > 0);
+    boost::system::error_code error = asio::error::would_block;
+    std::array<char, 1> byte{};
+    while (true) {
+      tcp::socket socket = acceptor.accept(error);
+      if (!error) {
+        accepted.push_back(std::move(socket));
+        break;
+      }
+      accepted.back().non_blocking(true);
+      accepted.back().receive(asio::buffer(byte), tcp::socket::message_peek,
+                              error);
+      if (!error) {
+        break;
+      }
+    }
+    accepted.back().non_blocking(false);
+    ReadHead(accepted.back());
+    WriteText(accepted.back(), response);
+    done.get_future().wait();
+  }
+  return static_cast<int>(accepted.size());
+}
+
+TEST(HttpClient, FindsKeepAliveTimeoutInAnyCase) {
+  EXPECT_EQ(ConnectionsForTwoRequests("timeout=0"), 2);
+  EXPECT_EQ(ConnectionsForTwoRequests("max=9, Timeout=0"), 2);
+  EXPECT_EQ(ConnectionsForTwoRequests("TIMEOUT=0"), 2);
+  EXPECT_EQ(ConnectionsForTwoRequests("timeout=5"), 1);
+}
+
+TEST(HttpClient, BoundsKeepAliveTimeout) {
+  EXPECT_EQ(ConnectionsForTwoRequests("timeout=9223372036854775807"), 1);
+  EXPECT_EQ(ConnectionsForTwoRequests("timeout=99999999999999999999"), 1);
+}
+
+TEST(HttpClient, IgnoresKeepAliveTimeoutThatIsNoNumber) {
+  EXPECT_EQ(ConnectionsForTwoRequests("timeout=soon"), 1);
+  EXPECT_EQ(ConnectionsForTwoRequests("no-timeout=0"), 1);
+}
+
 TEST(HttpClient, ReportsRequestAsNotSentIfConnectionIsRefused) {
   worker_threads pool;
   http_client client(pool.context, {.address = kHost, .port = 18499});
