Serve at once beside an instance that started with its daemon

Cause: a new process assumes that an earlier one has used up the window of the cold limits. An instance that became cold after that process has got nothing from it while it was cold.

Change: while the registration states that the instance is cold, a daemon asks for a health check in its first window. If the stated rest of the warm-up shows that it began no earlier than 100 ms before the process noted its own start, the first window is open. The time is counted from the begin of the oldest health check in progress, so that a late response opens nothing.

Test: on the code before, ServesAtOnceIfInstanceStartedWithTheDaemon failed: cold_test.cc:66: Expected: (written_.size()) >= (10u), actual: 0 vs 10 SendsNothingInFirstWindowIfInstanceWasColdBefore and LateHealthCheckDoesNotShowThatInstanceHasStarted guard the bound.

--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -197,6 +197,9 @@
   const instant now = clock_.Now();
   UpdateFromView(now);
   if (watch_.ProbeDue(cold_limiter_.NeedsHealthCheck(now), now)) {
+    if (probes_in_progress_++ == 0) {
+      oldest_probe_at_ = now;
+    }
     upstream_.Probe();
   }
   table_.Expire(now);
--- a/calls/cold_limiter.cc
+++ b/calls/cold_limiter.cc
@@ -13,6 +13,9 @@
 // Limit if the cold rate is not known and the cold limits have no slack, in
 // requests a second.
 constexpr double kMinColdRate = 1;
+// A process notes its start this much later than the end of an earlier one, at
+// the least. The unused share of the bound covers what that could send then.
+constexpr duration kStartTolerance = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -35,14 +38,35 @@
 
 // A response that does not state the warm-up, such as a rejection by a full
 // instance, may come from an instance that has restarted.
-void cold_limiter::OnHealthCheck(const upstream_report& report, instant now) {
+void cold_limiter::OnHealthCheck(const upstream_report& report,
+                                 instant asked_at,
+                                 instant now) {
   if (report.cold_left) {
     warm_up_.OnHealthCheck(*report.cold_left, now);
+    if (IsColdSinceStart(*report.cold_left, asked_at)) {
+      pacer_.OnColdSinceStart();
+    }
   } else if (report.reachable && !warm_up_.NeedsHealthCheck(now)) {
     warm_up_.OnDoubt(warm_up_source::kUnclearHealthCheck, WarmAtTheLatest(now));
   }
 }
 
+// The response was made after `asked_at`, so that the instance became cold no
+// earlier than computed here.
+bool cold_limiter::IsColdSinceStart(duration cold_left,
+                                    instant asked_at) const {
+  return service_ && cold_left <= service_->warm_up &&
+         asked_at + cold_left - service_->warm_up + kStartTolerance >=
+             process_started_at_;
+}
+
+bool cold_limiter::NeedsHealthCheck(instant now) const {
+  const bool stated_cold =
+      warm_up_.IsCold(now) && warm_up_.cold_until() != instant::max();
+  return warm_up_.NeedsHealthCheck(now) ||
+         (service_ && stated_cold && pacer_.InFirstWindow(now));
+}
+
 std::optional<double> cold_limiter::MaxRate(instant now) const {
   if (!warm_up_.IsCold(now)) {
     return std::nullopt;
--- a/calls/cold_limiter.h
+++ b/calls/cold_limiter.h
@@ -2,7 +2,10 @@
 // to calls/.
 //
 // Combines what is known of the warm-up, the limits of the service and of the
-// platform, and the count of the requests.
+// platform, and the count of the requests. After a power failure of all hosts,
+// daemons and instances start together. A health check then shows that the
+// instance started with this process, so callers need not wait for a window
+// in which an earlier process could have sent requests.
 
 #ifndef PARSLEYYARD_CALLS_COLD_LIMITER_H_
 #define PARSLEYYARD_CALLS_COLD_LIMITER_H_
@@ -18,7 +21,9 @@
 class cold_limiter {
  public:
   cold_limiter(const cold_limits& limits, instant process_started_at)
-      : limits_(limits), pacer_(process_started_at) {}
+      : limits_(limits),
+        process_started_at_(process_started_at),
+        pacer_(process_started_at) {}
 
   void SetLimits(const cold_limits& limits) { limits_ = limits; }
   // Sets the configuration of the instance's service; null: not known.
@@ -29,13 +34,15 @@
   // The failure domain is no longer evacuated: the instance may have become
   // cold meanwhile.
   void OnEvacuationEnd(instant now);
-  void OnHealthCheck(const upstream_report& report, instant now);
+  // `asked_at`: time at which the health check was begun, or an earlier one.
+  void OnHealthCheck(const upstream_report& report,
+                     instant asked_at,
+                     instant now);
 
   bool IsCold(instant now) const { return warm_up_.IsCold(now); }
-  // Returns true if only a health check can say whether the instance is cold.
-  bool NeedsHealthCheck(instant now) const {
-    return warm_up_.NeedsHealthCheck(now);
-  }
+  // Returns true if only a health check can say whether the instance is cold,
+  // or whether it became cold after the start of this process.
+  bool NeedsHealthCheck(instant now) const;
   // Returns the number of requests allowed in any second; empty: no limit.
   std::optional<double> MaxRate(instant now) const;
   // Returns true if a call may be started now.
@@ -54,9 +61,11 @@
   };
 
   instant WarmAtTheLatest(instant now) const;
+  bool IsColdSinceStart(duration cold_left, instant asked_at) const;
 
   cold_limits limits_;
   std::optional<service_limits> service_;  // empty: not known
+  instant process_started_at_;
   warm_up warm_up_;
   cold_pacer pacer_;
   // Last returned by TakeChange().
--- a/calls/cold_pacer.cc
+++ b/calls/cold_pacer.cc
@@ -16,8 +16,16 @@
 
 }  // namespace
 
+bool cold_pacer::InFirstWindow(instant now) const {
+  return !cold_since_start_ && now - process_started_at_ < kWindow;
+}
+
+void cold_pacer::OnColdSinceStart() {
+  cold_since_start_ = true;
+}
+
 bool cold_pacer::Allows(double rate, instant now) const {
-  if (now - process_started_at_ < kWindow) {
+  if (InFirstWindow(now)) {
     return false;
   }
   const auto first_in_window =
--- a/calls/cold_pacer.h
+++ b/calls/cold_pacer.h
@@ -7,7 +7,8 @@
 // or the process may have used up its share of the processor. Until then it
 // may be written at any moment, so it counts in each window. The requests that
 // an earlier process of the daemon sent are unknown, so a new process assumes
-// that they used up the whole first window.
+// that they used up the whole first window, unless the instance became cold
+// after that process.
 
 #ifndef PARSLEYYARD_CALLS_COLD_PACER_H_
 #define PARSLEYYARD_CALLS_COLD_PACER_H_
@@ -23,6 +24,11 @@
   explicit cold_pacer(instant process_started_at)
       : process_started_at_(process_started_at) {}
 
+  // Returns true if an earlier process of the daemon may have sent requests
+  // within the window.
+  bool InFirstWindow(instant now) const;
+  // The instance became cold after any earlier process of the daemon had ended.
+  void OnColdSinceStart();
   // Returns true if a call may be started now at a limit of `rate` requests a
   // second.
   bool Allows(double rate, instant now) const;
@@ -37,6 +43,7 @@
 
  private:
   instant process_started_at_;
+  bool cold_since_start_ = false;
   instant last_start_ = instant::min() / 2;
   std::size_t unwritten_ = 0;       // requests of started calls
   std::deque<instant> written_at_;  // times within the window, oldest first
--- a/calls/target_internals.h
+++ b/calls/target_internals.h
@@ -90,6 +90,8 @@
   pause_guard pause_guard_;
   transit_clock transit_clock_;
   std::uint32_t running_ = 0;
+  std::uint32_t probes_in_progress_ = 0;
+  instant oldest_probe_at_{};  // begin of the probes in progress
   bool draining_ = false;
   bool refuses_new_calls_ = false;
 };
--- a/calls/target_runs.cc
+++ b/calls/target_runs.cc
@@ -145,7 +145,8 @@
 void target_internals::OnUpstreamReport(const upstream_report& report) {
   const instant now = clock_.Now();
   watch_.OnReport(report, now);
-  cold_limiter_.OnHealthCheck(report, now);
+  cold_limiter_.OnHealthCheck(report, oldest_probe_at_, now);
+  probes_in_progress_ -= probes_in_progress_ > 0 ? 1 : 0;
   ReportColdLimit(now);
   StartWaitingCalls();
 }
--- a/tests/cold_test.cc
+++ b/tests/cold_test.cc
@@ -51,6 +51,52 @@
   EXPECT_GE(sent.size(), 33u) << "more than the 30 of the plain cold rate";
 }
 
+// Load: a power failure of the host. Guards against a second in which a cold
+// instance gets nothing although it has only started with the daemon.
+TEST_F(target_fixture, ServesAtOnceIfInstanceStartedWithTheDaemon) {
+  clock_.now += seconds(5);
+  SetView({ColdInstance(clock_.now)});
+  Restart({.cold = {.factor = 1.5, .slack = 5}});
+  clock_.now += milliseconds(50);
+  target_->Tick();
+  clock_.now += milliseconds(2);
+  target_->OnUpstreamReport(
+      {.reachable = true, .healthy = true, .cold_left = milliseconds(2930)});
+  OfferCalls(50, milliseconds(900));
+  EXPECT_GE(written_.size(), 10u) << "callers are served in the first second";
+  OfferCalls(50, milliseconds(1900));
+  EXPECT_LE(MaxInOneSecond(written_), 20u);
+  EXPECT_EQ(probes_, 1);
+}
+
+// Guards FAILBACK: an earlier process of the daemon may have sent requests to
+// an instance that was cold before this process started.
+TEST_F(target_fixture, SendsNothingInFirstWindowIfInstanceWasColdBefore) {
+  clock_.now += seconds(5);
+  known_instance cold = ColdInstance(clock_.now);
+  cold.cold_until -= milliseconds(500);
+  SetView({cold});
+  Restart({.cold = {.factor = 1.5, .slack = 5}});
+  target_->Tick();
+  target_->OnUpstreamReport(
+      {.reachable = true, .healthy = true, .cold_left = milliseconds(2500)});
+  OfferCalls(50, milliseconds(1000));
+  EXPECT_EQ(written_.size(), 0u);
+}
+
+// Guards FAILBACK: a health check that took long states the warm-up too late.
+TEST_F(target_fixture, LateHealthCheckDoesNotShowThatInstanceHasStarted) {
+  clock_.now += seconds(5);
+  SetView({ColdInstance(clock_.now)});
+  Restart({.cold = {.factor = 1.5, .slack = 5}});
+  target_->Tick();
+  clock_.now += milliseconds(400);
+  target_->OnUpstreamReport(
+      {.reachable = true, .healthy = true, .cold_left = milliseconds(2800)});
+  OfferCalls(50, milliseconds(500));
+  EXPECT_EQ(written_.size(), 0u);
+}
+
 // A request that arrives up to 0.3 s after its write must not break the bound.
 TEST_F(target_fixture, KeepsColdLimitIfRequestsArriveLate) {
   Restart({.cold = {.factor = 1.5, .slack = 5}});
