Run the soak seeds that failed once before the others

REGRESSION_SEEDS promised that seeds that failed stay, and nothing read it: a seed entered there would never have been run. The list is still empty.

Test: soak_plan, test_seeds_that_failed_once_are_run_first; on the old code: AttributeError: module 'soak' has no attribute 'seeds_to_run'.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -22,7 +22,7 @@
 import check  # noqa: E402
 import fleet  # noqa: E402
 
-# Seeds that failed once, each with its cause. Entries are never removed.
+# Seeds that failed once, each with its cause. Every soak runs them first. Entries are never removed.
 REGRESSION_SEEDS = {}
 
 EVACUATION_READ_LIMIT_S = 4.0  # within it, every daemon must have read an evacuation or its end
@@ -265,6 +265,11 @@
     return {**profile, "services": {name: count * factor for name, count in profile["services"].items()}}
 
 
+def seeds_to_run(first, count):
+    """The seeds that failed once, and `count` seeds from `first` on."""
+    return list(dict.fromkeys([*REGRESSION_SEEDS, *range(first, first + count)]))
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--profile", default="farolito", choices=sorted(fleet.PROFILES))
@@ -276,9 +281,10 @@
     parser.add_argument("--rate", type=int, default=200, help="calls per second")
     arguments = parser.parse_args()
     profile = scale_profile(fleet.PROFILES[arguments.profile], arguments.processes)
-    failed = [seed for seed in range(arguments.seed, arguments.seed + arguments.seeds)
+    seeds = seeds_to_run(arguments.seed, arguments.seeds)
+    failed = [seed for seed in seeds
               if not run_seed(seed, profile, 60 * arguments.minutes, arguments.rate, arguments.build)]
-    print(f"soak: {arguments.seeds - len(failed)} seeds passed, "
+    print(f"soak: {len(seeds) - len(failed)} seeds passed, "
           f"{len(failed)} failed{': ' + str(failed) if failed else ''}")
     return 1 if failed else 0
 
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -5,6 +5,7 @@
 import pathlib
 import sys
 import unittest
+import unittest.mock
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "soak"))
 import soak  # noqa: E402
@@ -70,6 +71,12 @@
         self.assertLessEqual({"kill", "freeze", "stop", "hangup", "restart_cold", "reorder", "commit", "declare_out",
                               "cut", "store", "copy", "restore", "write_again"}, drawn)
 
+    def test_seeds_that_failed_once_are_run_first(self):
+        with unittest.mock.patch.object(soak, "REGRESSION_SEEDS", {9: "a cause", 5: "another cause"}):
+            self.assertEqual(soak.seeds_to_run(4, 3), [9, 5, 4, 6])
+        with unittest.mock.patch.object(soak, "REGRESSION_SEEDS", {}):
+            self.assertEqual(soak.seeds_to_run(1, 2), [1, 2])
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
