Refuse messages with a flag that is neither 0 nor 1

A frame with another byte in the place of a bool was decoded; using that bool is undefined behaviour, so a damaged message could do anything. The generated codec now checks bools as it checks enums: the frame is damaged. The format is unchanged.

Test: fuzz target frames, corpus file bool-2; on the old code: messages_generated.h:88:52: runtime error: load of value 2, which is not a valid value for type 'bool'.

--- a/schema/generate.py
+++ b/schema/generate.py
@@ -75,6 +75,8 @@
         return f"  archive(bounded_list{{value.{name}, {limit}}});"
     if kind in enums:
         return f"  archive(checked_enum{{value.{name}, {len(enums[kind]['values'])}}});"
+    if kind == "bool":
+        return f"  archive(checked_bool{{value.{name}}});"
     return f"  archive(value.{name});"
 
 
--- a/wire/bounded.h
+++ b/wire/bounded.h
@@ -99,6 +99,22 @@
 template <class Enum>
 checked_enum(Enum&, int) -> checked_enum<Enum>;
 
+// A bool, sent as 0 or 1.
+struct checked_bool {
+  bool& value;
+
+  template <class Archive>
+  void save(Archive& archive) const {
+    archive(static_cast<std::uint8_t>(value));
+  }
+  template <class Archive>
+  void load(Archive& archive) {
+    std::uint8_t number = 0;
+    archive(number);
+    value = CheckLimit(number, 1) == 1;
+  }
+};
+
 }  // namespace parsleyyard
 
 #endif  // PARSLEYYARD_WIRE_BOUNDED_H_
--- a/wire/codec_generated.h
+++ b/wire/codec_generated.h
@@ -32,15 +32,15 @@
 
 template <class Archive>
 void serialize(Archive& archive, link_probe& value) {
-  archive(value.reply);
+  archive(checked_bool{value.reply});
 }
 
 template <class Archive>
 void serialize(Archive& archive, view_item& value) {
   archive(bounded_string{value.key, 200});
   archive(value.revision);
-  archive(value.removed);
-  archive(value.held);
+  archive(checked_bool{value.removed});
+  archive(checked_bool{value.held});
   archive(value.base_hash);
   archive(value.size);
   archive(bounded_string{value.packed, 1100000});
@@ -82,7 +82,7 @@
   archive(bounded_string{value.route, 200});
   archive(bounded_string{value.request_id, 200});
   archive(value.priority);
-  archive(value.never_repeat);
+  archive(checked_bool{value.never_repeat});
   archive(value.sent_ms);
   archive(value.deadline_ms);
   archive(value.objective_ms);
@@ -100,7 +100,7 @@
   archive(value.service_us);
   archive(value.route_us);
   archive(value.rejected_percent);
-  archive(value.leaving);
+  archive(checked_bool{value.leaving});
 }
 
 template <class Archive>
@@ -108,7 +108,7 @@
   archive(value.id);
   archive(checked_enum{value.outcome, 3});
   archive(checked_enum{value.reason, 23});
-  archive(value.reached_instance);
+  archive(checked_bool{value.reached_instance});
   archive(value.status);
   archive(value.load);
   archive(bounded_list{value.headers, 100});
