Bound the keep-alive timeout that an instance states

A timeout near 2^63 seconds overflowed, which is undefined behaviour, and any large one kept a connection in use for that long. The timeout counts up to an hour, and a negative one as 0.

Test: fuzz target http_responses, corpus file keep-alive-huge; on the old code: chrono.h:225:38: runtime error: signed integer overflow: * 1000000 cannot be represented in type 'long'.

--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -14,6 +14,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+#include <cstdlib>
 #include <mutex>
 
 namespace parsleyyard {
@@ -214,9 +216,11 @@
     return std::nullopt;
   }
   constexpr std::size_t kTimeoutNameLength = 8;
+  constexpr long kMaxTimeoutS = 3600;
   const long timeout_s = std::strtol(
       keep_alive_field->c_str() + at + kTimeoutNameLength, nullptr, 10);
-  return duration(std::chrono::seconds(timeout_s)) * kReusePercent / 100;
+  return duration(seconds(std::clamp(timeout_s, 0L, kMaxTimeoutS))) *
+         kReusePercent / 100;
 }
 
 asio::awaitable<void> http_client_internals::RunExchange(
