End an exchange with its connection after a skipped response

After a response that does not count (a late one to an earlier request, or one with a status below 200) the client reads on. If that response had no length it had ended with the connection, and another read after the end of the input is never woken: the exchange waited for its whole timeout. It ends at once now.

--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -183,7 +183,13 @@
       exchange.timed_out = error == beast::error::timeout;
       co_return false;
     }
+    // A message without a length ends with the connection. Another read would
+    // wait until the timeout.
+    const bool ended = !head_only && parser.get().need_eof();
     if (parser.get().result_int() < 200) {
+      if (ended) {
+        co_return false;
+      }
       continue;
     }
     http_response response{
@@ -194,6 +200,9 @@
     }
     response.body = std::move(parser.get().body());
     if (options.matches_request && !options.matches_request(response)) {
+      if (ended) {
+        co_return false;
+      }
       continue;
     }
     exchange.complete = true;
