Reject requests with an unknown transfer encoding

A request with a transfer encoding that does not end in chunked was read by its content length, or as one without a body, so that its body counted as the next request. Another hop may see other requests in the same bytes. It gets a 400 now, and its connection is closed. Gzip before chunked is not affected.

--- a/net/http_session.cc
+++ b/net/http_session.cc
@@ -60,6 +60,13 @@
   return head;
 }
 
+// True if the end of the body is not known for certain. Beast reads such a
+// request as if it had no such field.
+bool HasUnknownEncoding(const request_parser& parser) {
+  return parser.get().count(http::field::transfer_encoding) > 0 &&
+         !parser.chunked();
+}
+
 // A response for a request that was not run, after which the connection is
 // closed.
 http_response BuildNotRunResponse(std::uint16_t status, std::string text) {
@@ -357,6 +364,11 @@
         {.status = 431, .cause = rejection_cause::kTooManyFields}, incoming);
     co_return false;
   }
+  if (HasUnknownEncoding(parser)) {
+    RejectUnlessClosed({.status = 400, .detail = "unknown transfer encoding"},
+                       incoming);
+    co_return false;
+  }
   incoming.runs_alone = !server_->handler_.MayPipeline(incoming.request);
   incoming.expects_continue =
       beast::iequals(parser.get()[http::field::expect], "100-continue");
