--- a/fuzz/fixed_runs.cc
+++ b/fuzz/fixed_runs.cc
@@ -121,7 +121,7 @@
   // With a byte that bounds and formats are sensitive to.
   void ReplaceByte(std::string& input, std::size_t at) {
     constexpr std::string_view kBytes(
-        "\0\1\x7f\x80\xff\r\n\t :;,=-+.0123456789eE\"[]{}", 34);
+        "\0\1\x7f\x80\xff\r\n\t :;,=-+.0123456789eE\"[]{}", 33);
     if (at < input.size()) {
       input[at] = kBytes[Below(kBytes.size())];
     }
