Displace waiting calls only for a call that is admitted

Callers saw refusals of waiting calls for nothing: a more urgent call displaced less urgent ones until the expected wait was short enough, and was refused itself if it never was. Those behind it in the queue gain it nothing.

Change: displaced calls are put aside, refused once the new call fits, and put back in their places otherwise.

--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -3,6 +3,7 @@
 #include "calls/target_internals.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace parsleyyard {
 
@@ -121,26 +122,35 @@
           .service_time = service_time};
 }
 
+bool target_internals::Fits(const waiting_call& candidate, instant now) const {
+  const duration wait = queue_.ExpectedWait(candidate, Capacity(now));
+  const duration max_wait = std::chrono::duration_cast<duration>(
+      (candidate.due_at - now - candidate.service_time * kServiceTimeMargin) *
+      kMaxWaitShare);
+  const bool in_time = wait <= max_wait;
+  return (in_time || wait == duration::zero()) &&
+         queue_.size() < options_.max_waiting_calls;
+}
+
 // Returns true if the call may be queued. Displaces less urgent calls until the
-// expected wait is short enough and the queue has room.
+// expected wait is short enough and the queue has room; none, if that is not
+// enough.
 bool target_internals::TryAdmit(const waiting_call& candidate, instant now) {
-  while (true) {
-    const duration wait = queue_.ExpectedWait(candidate, Capacity(now));
-    const duration max_wait = std::chrono::duration_cast<duration>(
-        (candidate.due_at - now - candidate.service_time * kServiceTimeMargin) *
-        kMaxWaitShare);
-    const bool in_time = wait <= max_wait;
-    const bool fits = (in_time || wait == duration::zero()) &&
-                      queue_.size() < options_.max_waiting_calls;
-    if (fits) {
-      return true;
-    }
-    const auto displaced = queue_.PopLessUrgent(candidate.priority);
-    if (!displaced) {
+  std::vector<waiting_call> displaced;
+  while (!Fits(candidate, now)) {
+    const auto next = queue_.PopLessUrgent(candidate.priority);
+    if (!next) {
+      for (const waiting_call& call : displaced) {
+        queue_.PutBack(call);
+      }
       return false;
     }
-    RefuseWaitingCall(displaced->id, refusal_reason::kOverloaded);
+    displaced.push_back(*next);
+  }
+  for (const waiting_call& call : displaced) {
+    RefuseWaitingCall(call.id, refusal_reason::kOverloaded);
   }
+  return true;
 }
 
 void target_internals::OnCall(const host_address& from,
--- a/calls/target_internals.h
+++ b/calls/target_internals.h
@@ -63,6 +63,7 @@
   waiting_call ToWaitingCall(const call_request& message,
                              const table_entry& entry,
                              instant now) const;
+  bool Fits(const waiting_call& candidate, instant now) const;
   bool TryAdmit(const waiting_call& candidate, instant now);
   void StartWaitingCalls();
   void StartOrRefuse(const waiting_call& next, instant now);
--- a/calls/wait_queue.h
+++ b/calls/wait_queue.h
@@ -51,6 +51,8 @@
   // Removes and returns the newest call of the least urgent priority; empty if
   // no call is less urgent than `priority`.
   std::optional<waiting_call> PopLessUrgent(std::uint32_t priority);
+  // Returns a call that was removed to its former place.
+  void PutBack(const waiting_call& call) { calls_.insert(call); }
   void Remove(const call_id& id);
 
  private:
--- a/tests/calls_test.cc
+++ b/tests/calls_test.cc
@@ -580,5 +580,21 @@
   EXPECT_EQ(time_left_[3], duration(milliseconds(700)));
 }
 
+// Guards against refusals of waiting calls for one that is refused itself.
+TEST_F(target_fixture, CallThatIsRefusedDisplacesNone) {
+  LearnServiceTime(milliseconds(100));
+  Call(1);
+  Call(2);
+  Call(3, 1);
+  for (std::uint64_t call = 4; call < 12; ++call) {
+    Call(call);
+    if (answers_.contains(call)) {
+      EXPECT_FALSE(answers_.contains(3)) << "displaced by call " << call;
+      return;
+    }
+  }
+  FAIL() << "no call was refused";
+}
+
 }  // namespace
 }  // namespace parsleyyard::testing
