--- a/daemon/settings_generated.h
+++ b/daemon/settings_generated.h
@@ -84,12 +84,12 @@
     std::uint32_t queue = 256;  // limit of calls that wait for the instance
     std::chrono::milliseconds drain_notice = std::chrono::milliseconds{
         2300};  // delay between announcing a stop and closing the listener; at
-                // most two fifths of grace-s of platform.bounds, if stated
-                // there
+                // most two fifths of the grace time, if platform.bounds states
+                // it
     std::chrono::milliseconds drain_timeout = std::chrono::milliseconds{
         5500};  // longest wait for calls in flight during a stop; not used if
-                // platform.bounds states grace-s, from which the wait follows
-                // then
+                // platform.bounds states the grace time, from which the wait
+                // follows then
   } calls;
 
   // Threads and logging of the process.
