--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -23,7 +23,6 @@
 BOUNDS = ("drain-ms=2000,grace-s=6,contact-ms=3000,ack-ms=4000,config-apply-ms=2000,rollback-slack-ms=250,"
           "budget-ratio=0.2,budget-window-s=10,budget-slack=60,warmup-factor=1.5,warmup-slack=5,evac-ms=5000,"
           "reuse-after-s=2,loss-slack-ms=200,recover-s=15")
-DOMAINS = "mvd-a:montevideo, mvd-b:montevideo, ltr-a:litoral, ltr-b:litoral"
 
 
 class CannotRun(Exception):
@@ -272,12 +271,15 @@
 
 
 class Deployment:
-    def __init__(self, record, workdir, services):
-        """`services`: the service of each machine, in order."""
+    PLACES = [("mvd-a", "montevideo"), ("mvd-b", "montevideo"), ("ltr-a", "litoral"), ("ltr-b", "litoral")]
+
+    def __init__(self, record, workdir, services, places=None, bounds=BOUNDS):
+        """`services`: the service of each machine, in order. `places`: zones and regions, used in turn."""
         self.record, self.workdir, self.runs = record, pathlib.Path(workdir), {}
-        places = [("mvd-a", "montevideo"), ("mvd-b", "montevideo"), ("ltr-a", "litoral"), ("ltr-b", "litoral")]
+        self.places, self.bounds = places or self.PLACES, bounds
         self.net = f"127.{random.randint(20, 200)}.{random.randint(1, 250)}"
-        self.hosts = [Host(f"{self.net}.{i + 10}", *places[i % 4], service) for i, service in enumerate(services)]
+        self.hosts = [Host(f"{self.net}.{i + 10}", *self.places[i % len(self.places)], service)
+                      for i, service in enumerate(services)]
         self.pick_ports()
         self.store, self.daemons = Store(), {}
         self.version = 0
@@ -328,11 +330,11 @@
         settings = self.workdir / f"{host.address}.ini"
         settings.write_text(
             f"[host]\nname = {host.address}\naddress = {host.address}\nfailure_domain = {host.zone}\n"
-            f"region = {host.region}\ndomains = {DOMAINS}\n\n"
+            f"region = {host.region}\ndomains = {', '.join(z + ':' + r for z, r in self.places)}\n\n"
             f"[listen]\ncallers = {host.address}:{self.outbound}\nready = {host.address}:{self.ready}\n"
             f"peers = {self.peers}\nadmin = {self.admin}\n\n"
             f"[upstream]\ninstance = {host.address}:{self.app_port}\nservice = {host.service}\n\n"
-            f"[platform]\nstore = {self.net}.1:{self.store_port}\nbounds = {BOUNDS}\n")
+            f"[platform]\nstore = {self.net}.1:{self.store_port}\nbounds = {self.bounds}\n")
         program = ROOT / self.command()[0]
         if not program.exists():
             raise CannotRun(f"{program} is not built")
@@ -368,7 +370,7 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def main(folder, services, play):
+def main(folder, services, play, **options):
     """Runs `play(deployment, trouble)`, which returns the list of what broke the rule, and exits as a case does."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(pathlib.Path(folder) / "record.txt")
@@ -376,7 +378,7 @@
 
     async def run():
         with tempfile.TemporaryDirectory() as workdir:
-            deployment = Deployment(record, workdir, services)
+            deployment = Deployment(record, workdir, services, **options)
             try:
                 return await asyncio.wait_for(play(deployment, trouble), 110)
             finally:
