--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -237,6 +237,7 @@
                     self.deployment.record.write(f"run     {attempt} {method} {path} by {self.id} ({self.service}) "
                                                  f"for {fields.get('caller-service', '-')}")
                     self.deployment.runs.setdefault(attempt, []).append((self.id, self.service, path))
+                    self.deployment.run_at.setdefault(attempt, time.monotonic())
                     try:
                         keeps = await self.run(attempt, fields, reader, writer)
                     finally:
@@ -275,7 +276,8 @@
 
     def __init__(self, record, workdir, services, places=None, bounds=BOUNDS):
         """`services`: the service of each machine, in order. `places`: zones and regions, used in turn."""
-        self.record, self.workdir, self.runs = record, pathlib.Path(workdir), {}
+        self.record, self.workdir = record, pathlib.Path(workdir)
+        self.runs, self.run_at = {}, {}  # by attempt: what ran it; when the first run began
         self.places, self.bounds = places or self.PLACES, bounds
         self.net = f"127.{random.randint(20, 200)}.{random.randint(1, 250)}"
         self.hosts = [Host(f"{self.net}.{i + 10}", *self.places[i % len(self.places)], service)
