--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -386,6 +386,8 @@
             finally:
                 deployment.stop_all()
 
+    # Whoever ends the script early ends its daemons too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(run())
     except Exception as error:  # the case could not run, whatever the reason; 1 is for a broken rule alone
