--- a/daemon/caller_gate.cc
+++ b/daemon/caller_gate.cc
@@ -341,6 +341,26 @@
               {"took_ms", ended.record.took.count() / 1000}});
 }
 
+void caller_gate::LogUnfinishedCalls() {
+  std::vector<pending_call> unfinished;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& [handle, call] : pending_calls_) {
+      unfinished.push_back(
+          {.record = call.record, .started_at = call.started_at});
+    }
+  }
+  for (const pending_call& call : unfinished) {
+    LogSteps(call, TakeSteps(call.record.request));
+    log_.Write(log_kind::kFailedCall, log_level::kWarning, "call",
+               "cut off by stop",
+               {{"request", call.record.request},
+                {"route", call.record.route},
+                {"service", call.record.service},
+                {"took_ms", (clock_.Now() - call.started_at).count() / 1000}});
+  }
+}
+
 void caller_gate::OnResult(std::uint64_t call, call_result result) {
   pending_call ended;
   {
--- a/daemon/caller_gate.h
+++ b/daemon/caller_gate.h
@@ -52,6 +52,9 @@
   // their calls could be cut off then.
   void RefuseBeyond(instant end) { last_deadline_ = end; }
   std::size_t in_flight() const;
+  // Logs each call that has no result yet, with its steps. Call this when the
+  // daemon ends: nobody gets their results.
+  void LogUnfinishedCalls();
 
   bool MayPipeline(const http_request& head) override;
   std::optional<http_response> OnHead(const http_request& head) override;
--- a/daemon/drain.cc
+++ b/daemon/drain.cc
@@ -107,6 +107,7 @@
               {"connections", caller_server_.connections()},
               {"instance_runs", load.running},
               {"instance_queue", load.waiting}});
+  gate_.LogUnfinishedCalls();
 }
 
 void daemon_internals::Stop() {
--- a/daemon/peer_wiring.cc
+++ b/daemon/peer_wiring.cc
@@ -100,9 +100,13 @@
 
 void daemon_internals::OnUndelivered(const host_address& to,
                                      const any_message& message) {
-  if (std::holds_alternative<view_update>(message)) {
+  if (const auto* update = std::get_if<view_update>(&message)) {
     log_.Write(log_kind::kView, log_level::kInfo, "view",
-               "update not delivered", {{"peer", to}});
+               "update not delivered",
+               {{"peer", to},
+                {"root", update->root},
+                {"revision", update->to_revision},
+                {"for_others", update->cover_from <= update->cover_to}});
   }
 }
 
