Recall calls that can't end before their daemon does

Cause: at the end of a stop the process ended, whatever its calls waited for. Nobody took them out of the queue of the other daemon, and nobody answered them.

Now a daemon that stops tells its call sender and its call target the end. The sender makes it the deadline of each call. An attempt that can't end by then any more is recalled with a cancel that leaves alone what was written to an instance (a field of call_cancel, format version 5); what the target refuses has not run and gets a 503, the rest is answered by the end as unknown. The target refuses what is not expected to end in time, so that senders place it elsewhere, and withholds what waits for a connection. The stop waits for the last responses.

--- a/calls/call_sender.cc
+++ b/calls/call_sender.cc
@@ -26,6 +26,7 @@
   call.message = std::move(message);
   call.deadline = now + plan.deadline;
   call.objective = now + plan.objective;
+  LimitToEnd(call);
   budget_.OnRequest(plan.service, now);
   StartAttempt(call, refusal_reason::kNoUpstream);
 }
@@ -54,6 +55,9 @@
 void sender_internals::StartAttempt(pending_call& call,
                                     refusal_reason last_refusal) {
   const instant now = clock_.Now();
+  if (now >= call.recall_at) {
+    return Refuse(call, refusal_reason::kLeaving);
+  }
   if (now + kMinAttemptTime >= call.deadline) {
     return Refuse(call, refusal_reason::kDeadlinePassed);
   }
@@ -162,6 +166,56 @@
   calls_.Remove(handle);
 }
 
+// ---------------------------------------------------------------------------
+// Stop of the daemon
+// ---------------------------------------------------------------------------
+
+void sender_internals::EndBy(instant end) {
+  if (end == end_at_) {
+    return;
+  }
+  end_at_ = end;
+  for (const std::uint64_t handle : calls_.Handles()) {
+    LimitToEnd(*calls_.Find(handle));
+  }
+}
+
+void sender_internals::LimitToEnd(pending_call& call) {
+  if (call.deadline <= end_at_) {
+    return;
+  }
+  call.deadline = end_at_;
+  call.objective = std::min(call.objective, end_at_);
+  call.recall_at =
+      end_at_ - std::max(kMinRecallTime, placement_.MeanServiceTime(
+                                             *view_.Current(), call.plan));
+}
+
+// Asks the targets to refuse the attempts that have not started. Their answers
+// end the call, or its deadline does if one is lost.
+void sender_internals::Recall(pending_call& call) {
+  call.recalled = true;
+  ReportEvent(call, "recalled", refusal_reason::kLeaving);
+  RecallAttempt(call.current);
+  if (call.other) {
+    RecallAttempt(*call.other);
+  }
+}
+
+void sender_internals::RecallAttempt(const call_attempt& attempt) {
+  if (attempt.life_cycle.state() == call_state::kSent &&
+      link_.PeerIncarnation(attempt.target_host)) {
+    link_.SendCancel(
+        attempt.target_host,
+        {.id = {.origin = options_.incarnation, .sequence = attempt.sequence},
+         .unless_written = true});
+  }
+}
+
+// ---------------------------------------------------------------------------
+// Events
+// ---------------------------------------------------------------------------
+
 void sender_internals::OnLinkUp(const host_address& peer,
                                 std::uint64_t incarnation) {
   SendOwedCancels(peer, incarnation);
@@ -256,7 +310,8 @@
 void sender_internals::TickAttempt(pending_call& call, instant now) {
   call_attempt& attempt = call.current;
   const call_state state = attempt.life_cycle.state();
-  if (state == call_state::kConnecting && now >= attempt.connect_deadline) {
+  if (state == call_state::kConnecting &&
+      now >= std::min(attempt.connect_deadline, call.recall_at)) {
     OnNotRun(call, refusal_reason::kLinkLost, false);
   } else if (state == call_state::kAttaching &&
              now >= attempt.attach_deadline) {
@@ -281,6 +336,9 @@
       OnDeadline(*call);
       continue;
     }
+    if (call != nullptr && now >= call->recall_at && !call->recalled) {
+      Recall(*call);
+    }
     if (call != nullptr) {
       TickAttempt(*call, now);
       call = calls_.Find(handle);
@@ -315,6 +373,9 @@
 void call_sender::Cancel(std::uint64_t call) {
   internals_->Cancel(call);
 }
+void call_sender::EndBy(instant end) {
+  internals_->EndBy(end);
+}
 void call_sender::Tick() {
   internals_->Tick();
 }
--- a/calls/call_table.cc
+++ b/calls/call_table.cc
@@ -29,6 +29,16 @@
   }
 }
 
+std::vector<call_id> call_table::FindUnwritten() const {
+  std::vector<call_id> unwritten;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.state == attempt_state::kRunning && !entry.written) {
+      unwritten.push_back({.origin = id.first, .sequence = id.second});
+    }
+  }
+  return unwritten;
+}
+
 void call_table::Expire(instant now) {
   std::erase_if(entries_, [&](const auto& item) {
     const table_entry& entry = item.second;
--- a/calls/call_table.h
+++ b/calls/call_table.h
@@ -45,6 +45,8 @@
   // Marks the attempt as ended and keeps its answer for a sender that attaches.
   // Drops the oldest answers once all bodies exceed the limit.
   void End(const call_id& id, std::shared_ptr<const call_answer> answer);
+  // Returns the running attempts whose request was not written yet.
+  std::vector<call_id> FindUnwritten() const;
   // Removes the entries whose expiry has passed.
   void Expire(instant now);
 
--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -181,14 +181,15 @@
   const instant sent_at =
       now - transit_clock_.Observe(
                 id.origin, std::chrono::milliseconds(message->sent_ms), now);
-  const instant deadline =
-      sent_at + std::chrono::milliseconds(message->deadline_ms);
-  table_entry entry{
-      .sender = from,
-      .message = message,
-      .deadline = deadline,
-      .objective = sent_at + std::chrono::milliseconds(message->objective_ms),
-      .expiry = std::max(now, deadline) + options_.id_retention};
+  const instant deadline = std::min(
+      end_at_, sent_at + std::chrono::milliseconds(message->deadline_ms));
+  const instant objective = std::min(
+      end_at_, sent_at + std::chrono::milliseconds(message->objective_ms));
+  table_entry entry{.sender = from,
+                    .message = message,
+                    .deadline = deadline,
+                    .objective = objective,
+                    .expiry = std::max(now, deadline) + options_.id_retention};
   const waiting_call candidate = ToWaitingCall(*message, entry, now);
   if (refusal == refusal_reason::kNone && options_.limit_admission &&
       !TryAdmit(candidate, now)) {
@@ -215,6 +216,7 @@
     upstream_.Probe();
   }
   table_.Expire(now);
+  RefuseCallsThatOutlastDaemon(now);
   StartWaitingCalls();
 }
 
@@ -263,6 +265,9 @@
 void call_target::SetColdLimits(const cold_limits& limits) {
   internals_->SetColdLimits(limits);
 }
+void call_target::EndBy(instant end) {
+  internals_->EndBy(end);
+}
 bool call_target::idle() const {
   return internals_->idle();
 }
--- a/calls/calls.h
+++ b/calls/calls.h
@@ -231,6 +231,10 @@
   void Begin(std::uint64_t call, const call_plan& plan, call_request message);
   // Ends a call whose caller has disconnected. OnResult() is not called.
   void Cancel(std::uint64_t call);
+  // The daemon stops at `end`: each call has its result by then. Attempts that
+  // could not end by then any more are recalled, so that calls that have not
+  // run end as such while their callers still listen.
+  void EndBy(instant end);
 
   // Applies deadlines and timeouts, and reconnects lost links.
   void Tick();
@@ -371,6 +375,10 @@
   void BeginDrain();
   // Refuses new calls from now on. Admitted calls are finished.
   void RefuseNewCalls();
+  // The daemon stops at `end`. Calls that are not expected to end by then are
+  // refused, also those that wait, so that their senders can place them
+  // elsewhere. Calls whose request was written go on.
+  void EndBy(instant end);
   void SetColdLimits(const cold_limits& limits);
   // Returns true if no call runs or waits.
   bool idle() const;
--- a/calls/pending_calls.h
+++ b/calls/pending_calls.h
@@ -45,6 +45,10 @@
   // hosts.
   std::optional<call_attempt> other;
   bool may_have_run = false;  // an ended attempt may have run
+  // The daemon stops: an attempt that starts at its instance later could not
+  // end in time.
+  instant recall_at = instant::max();
+  bool recalled = false;  // the targets were told so
   // Error response of an instance, returned if no later attempt succeeds.
   std::optional<call_result> failed_result;
 };
--- a/calls/sender_internals.h
+++ b/calls/sender_internals.h
@@ -27,6 +27,10 @@
 // An attempt counts as slow after this many times the mean service time.
 inline constexpr int kSilenceFactor = 4;
 
+// Time from a recall to the end of the daemon that suffices for the answer of
+// the target and for the response to the caller.
+inline constexpr duration kMinRecallTime = std::chrono::milliseconds(300);
+
 // A cancel that waits for the lost link to the target.
 struct owed_cancel {
   host_address host;
@@ -56,6 +60,7 @@
 
   void Begin(std::uint64_t handle, const call_plan& plan, call_request message);
   void Cancel(std::uint64_t handle);
+  void EndBy(instant end);
   void Tick();
   void OnLinkUp(const host_address& peer, std::uint64_t incarnation);
   void OnPeerStops(const host_address& peer);
@@ -88,6 +93,9 @@
   void SendOwedCancels(const host_address& peer, std::uint64_t incarnation);
   bool TryAcquireRetry(const pending_call& call, retry_kind kind);
   void CancelAttempt(const pending_call& call, const call_attempt& attempt);
+  void LimitToEnd(pending_call& call);
+  void Recall(pending_call& call);
+  void RecallAttempt(const call_attempt& attempt);
   void Finish(pending_call& call, call_result result);
   void Refuse(pending_call& call, refusal_reason reason);
   duration DrawRetryAfter(const pending_call& call);
@@ -108,6 +116,7 @@
   pending_calls calls_;
   std::set<host_address> closing_peers_;  // have announced their close
   std::vector<owed_cancel> owed_cancels_;
+  instant end_at_ = instant::max();  // the daemon stops then
 };
 
 }  // namespace parsleyyard
--- a/calls/sender_outcomes.cc
+++ b/calls/sender_outcomes.cc
@@ -183,7 +183,8 @@
   const duration left = call.deadline - now;
   const bool may_retry = !call.other &&
                          call.reached_instances + 1 < call.plan.max_attempts &&
-                         call.attempts < kMaxAttempts && left > kMinAttemptTime;
+                         call.attempts < kMaxAttempts &&
+                         left > kMinAttemptTime && now < call.recall_at;
   if (!may_retry ||
       !placement_.Choose(*view_.Current(), call.plan,
                          {.objective = left, .deadline = left},
@@ -237,11 +238,14 @@
 void sender_internals::OnDeadline(pending_call& call) {
   call.may_have_run |=
       WasSent(call.current) || (call.other && WasSent(*call.other));
-  ReportEvent(call, "deadline passed", refusal_reason::kTimeout);
+  const bool ended_by_stop = call.recall_at != instant::max();
+  const refusal_reason reason =
+      ended_by_stop ? refusal_reason::kLeaving : refusal_reason::kTimeout;
+  ReportEvent(call, ended_by_stop ? "daemon stops" : "deadline passed", reason);
   EndOther(call);
   CancelAttempt(call, call.current);
   ReleaseTarget(call, call.current);
-  Refuse(call, refusal_reason::kTimeout);
+  Refuse(call, reason);
 }
 
 }  // namespace parsleyyard
--- a/calls/target_internals.h
+++ b/calls/target_internals.h
@@ -45,6 +45,7 @@
   void OnUpstreamReport(const upstream_report& report);
   void BeginDrain() { draining_ = true; }
   void RefuseNewCalls() { refuses_new_calls_ = true; }
+  void EndBy(instant end) { end_at_ = end; }
   void SetColdLimits(const cold_limits& limits) {
     cold_limiter_.SetLimits(limits);
   }
@@ -68,6 +69,8 @@
   void StartWaitingCalls();
   void StartOrRefuse(const waiting_call& next, instant now);
   bool IsTooLate(const waiting_call& next, instant now) const;
+  void RefuseCallsThatOutlastDaemon(instant now);
+  void WithholdUnwrittenCalls();
   void EndAttempt(const call_id& id, call_answer answer);
   void RefuseWaitingCall(const call_id& id, refusal_reason reason);
   void SendOutcome(const host_address& to,
@@ -97,6 +100,8 @@
   instant oldest_probe_at_{};  // begin of the probes in progress
   bool draining_ = false;
   bool refuses_new_calls_ = false;
+  instant end_at_ = instant::max();  // the daemon stops then
+  bool withholds_unwritten_ = false;
 };
 
 }  // namespace parsleyyard
--- a/calls/target_runs.cc
+++ b/calls/target_runs.cc
@@ -3,6 +3,8 @@
 #include "calls/attempt_answer.h"
 #include "calls/target_internals.h"
 
+#include <utility>
+
 namespace parsleyyard {
 
 namespace {
@@ -13,6 +15,9 @@
 // A waiting call is refused in favour of others once the time left until it is
 // due is shorter than this share of its service time.
 constexpr double kMinServiceTimeShare = 0.7;
+// Time before the end of the daemon from which calls that still wait for a
+// connection to the instance are refused. It suffices for the answer.
+constexpr duration kWithholdTime = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -40,10 +45,37 @@
 refusal_reason target_internals::FindStartRefusal(const table_entry& call,
                                                   instant now) const {
   const refusal_reason refusal = FindRefusal(*call.message, call.trial, now);
-  const bool past_deadline = now + kMinRunTime >= call.deadline;
-  return refusal == refusal_reason::kNone && past_deadline
-             ? refusal_reason::kDeadlinePassed
-             : refusal;
+  if (refusal != refusal_reason::kNone) {
+    return refusal;
+  }
+  if (now + watch_.ServiceTimeOf(call.message->route) > end_at_) {
+    return refusal_reason::kLeaving;
+  }
+  return now + kMinRunTime >= call.deadline ? refusal_reason::kDeadlinePassed
+                                            : refusal_reason::kNone;
+}
+
+// The senders of calls that this daemon can't finish learn it in time to place
+// them elsewhere, or to tell their callers.
+void target_internals::RefuseCallsThatOutlastDaemon(instant now) {
+  if (end_at_ == instant::max()) {
+    return;
+  }
+  for (const waiting_call& call :
+       queue_.PopCallsThatOutlast(end_at_ - now, Capacity(now))) {
+    RefuseWaitingCall(call.id, refusal_reason::kLeaving);
+  }
+  if (now + kWithholdTime >= end_at_ &&
+      !std::exchange(withholds_unwritten_, true)) {
+    WithholdUnwrittenCalls();
+  }
+}
+
+void target_internals::WithholdUnwrittenCalls() {
+  for (const call_id& id : table_.FindUnwritten()) {
+    table_.Find(id)->withheld_for = refusal_reason::kLeaving;
+    upstream_.Cancel(id);
+  }
 }
 
 void target_internals::StartOrRefuse(const waiting_call& next, instant now) {
@@ -200,7 +232,9 @@
   if (!call->written) {
     call->withheld_for = refusal_reason::kCancelled;
   }
-  if (!call->written || !call->message->never_repeat) {
+  const bool may_abort =
+      !message.unless_written && !call->message->never_repeat;
+  if (!call->written || may_abort) {
     upstream_.Cancel(message.id);
   }
 }
--- a/calls/wait_queue.cc
+++ b/calls/wait_queue.cc
@@ -18,6 +18,26 @@
   return call.due_at - call.service_time + kPriorityStep * call.priority;
 }
 
+// Expected wait of a call behind `ahead` others.
+duration WaitBehind(std::size_t ahead, const instance_capacity& capacity) {
+  const std::size_t free_slots =
+      capacity.limit > capacity.running ? capacity.limit - capacity.running : 0;
+  duration wait{};
+  if (ahead >= free_slots) {
+    const double completions_needed =
+        static_cast<double>(ahead - free_slots + 1);
+    wait = std::chrono::duration_cast<duration>(
+        capacity.service_time *
+        (completions_needed / std::max(1U, capacity.limit)));
+  }
+  if (capacity.max_start_rate) {
+    const std::chrono::duration<double> paced_wait(static_cast<double>(ahead) /
+                                                   *capacity.max_start_rate);
+    wait = std::max(wait, std::chrono::duration_cast<duration>(paced_wait));
+  }
+  return wait;
+}
+
 }  // namespace
 
 bool wait_queue::starts_before::operator()(const waiting_call& a,
@@ -37,23 +57,24 @@
 
 duration wait_queue::ExpectedWait(const waiting_call& candidate,
                                   const instance_capacity& capacity) const {
-  const std::size_t ahead = CountAhead(candidate);
-  const std::size_t free_slots =
-      capacity.limit > capacity.running ? capacity.limit - capacity.running : 0;
-  duration wait{};
-  if (ahead >= free_slots) {
-    const double completions_needed =
-        static_cast<double>(ahead - free_slots + 1);
-    wait = std::chrono::duration_cast<duration>(
-        capacity.service_time *
-        (completions_needed / std::max(1U, capacity.limit)));
-  }
-  if (capacity.max_start_rate) {
-    const std::chrono::duration<double> paced_wait(static_cast<double>(ahead) /
-                                                   *capacity.max_start_rate);
-    wait = std::max(wait, std::chrono::duration_cast<duration>(paced_wait));
+  return WaitBehind(CountAhead(candidate), capacity);
+}
+
+std::vector<waiting_call> wait_queue::PopCallsThatOutlast(
+    duration left,
+    const instance_capacity& capacity) {
+  std::vector<waiting_call> popped;
+  std::size_t ahead = 0;
+  for (auto next = calls_.begin(); next != calls_.end();) {
+    const auto call = next++;
+    if (WaitBehind(ahead, capacity) + call->service_time > left) {
+      popped.push_back(*call);
+      calls_.erase(call);
+    } else {
+      ++ahead;
+    }
   }
-  return wait;
+  return popped;
 }
 
 void wait_queue::Enqueue(waiting_call candidate) {
--- a/calls/wait_queue.h
+++ b/calls/wait_queue.h
@@ -51,6 +51,10 @@
   // Removes and returns the newest call of the least urgent priority; empty if
   // no call is less urgent than `priority`.
   std::optional<waiting_call> PopLessUrgent(std::uint32_t priority);
+  // Removes and returns the calls that are not expected to end within `left`.
+  std::vector<waiting_call> PopCallsThatOutlast(
+      duration left,
+      const instance_capacity& capacity);
   // Returns a call that was removed to its former place.
   void PutBack(const waiting_call& call) { calls_.insert(call); }
   void Remove(const call_id& id);
--- a/daemon/caller_gate.cc
+++ b/daemon/caller_gate.cc
@@ -381,6 +381,10 @@
   if (!answered) {
     result.status = StatusFor(result);
   }
+  if (result.outcome == call_outcome::kUnknown &&
+      result.reason == refusal_reason::kLeaving) {
+    ++cut_off_;
+  }
   ended.record.status = result.status;
   metrics_.OnCall(ended.record);
   LogCallEnd(ended);
--- a/daemon/caller_gate.h
+++ b/daemon/caller_gate.h
@@ -52,6 +52,8 @@
   // their calls could be cut off then.
   void RefuseBeyond(instant end) { last_deadline_ = end; }
   std::size_t in_flight() const;
+  // Number of calls that ended with an unknown outcome because of the stop.
+  std::size_t cut_off() const { return cut_off_; }
   // Logs each call that has no result yet, with its steps. Call this when the
   // daemon ends: nobody gets their results.
   void LogUnfinishedCalls();
@@ -114,6 +116,7 @@
   std::atomic<bool> draining_{false};
   std::atomic<instant> last_deadline_{instant::max()};
   std::atomic<std::uint64_t> last_call_{0};
+  std::atomic<std::size_t> cut_off_{0};
   mutable std::mutex
       mutex_;  // guards the members below; locked after sender_mutex_
                // and target_mutex_ of daemon_internals
--- a/daemon/daemon_internals.h
+++ b/daemon/daemon_internals.h
@@ -121,6 +121,7 @@
   void OpenMissingLinks();
   void FlushLog();
   stop_plan PlanThisStop() const;
+  void EndCallsBy(instant end);
   void ContinueDrain();
   bool EndCalls();
   void LogEndOfCalls();
@@ -179,6 +180,7 @@
   instant drain_started_at_{};
   bool stop_timed_out_ = false;  // it did not wait for all calls in flight
   std::optional<instant> peers_asked_at_;  // to send nothing more
+  bool closed_ = false;                    // the streams to peers are closed
 };
 
 }  // namespace parsleyyard
--- a/daemon/drain.cc
+++ b/daemon/drain.cc
@@ -24,10 +24,12 @@
 
 // Until the plan's `notice`, the stop is announced while new requests are still
 // accepted, so that callers and peers stop sending here. Then the listener
-// closes, and the calls in flight finish. Once they have, or at the plan's
-// `timeout`, the peers are asked to send nothing more. Calls that were on their
-// way are refused, since a call that nobody reads would have an unknown
-// outcome. The daemon stops when all peers have done so.
+// closes, and the calls in flight finish. Calls that can't finish by the plan's
+// `timeout` are recalled and refused before it; at the timeout, those that run
+// end with an unknown outcome. Once all calls have ended, the peers are asked
+// to send nothing more. Calls that were on their way are refused, since a call
+// that nobody reads would have an unknown outcome. The daemon stops when all
+// peers have done so and the last responses are written.
 void daemon_internals::BeginDrain() {
   asio::post(context_, [this] {
     if (draining_.exchange(true)) {
@@ -45,14 +47,29 @@
       const std::lock_guard lock(target_mutex_);
       target_.BeginDrain();
     }
+    EndCallsBy(drain_started_at_ + plan.timeout);
     RunPeriodically(drain_timer_, kDrainCheckInterval,
                     &daemon_internals::ContinueDrain);
   });
 }
 
+void daemon_internals::EndCallsBy(instant end) {
+  {
+    const std::lock_guard lock(sender_mutex_);
+    sender_.EndBy(end);
+  }
+  const std::lock_guard lock(target_mutex_);
+  target_.EndBy(end);
+}
+
 void daemon_internals::ContinueDrain() {
+  if (closed_) {
+    context_.stop();
+    return;
+  }
   const duration elapsed = clock_.Now() - drain_started_at_;
   const stop_plan plan = PlanThisStop();
+  EndCallsBy(drain_started_at_ + plan.timeout);
   if (elapsed >= plan.late_after) {
     gate_.RefuseBeyond(drain_started_at_ + plan.timeout);
   }
@@ -64,10 +81,12 @@
     stop_timed_out_ = !idle;
     peers_asked_at_ = clock_.Now();
     mesh_.BeginClose();
+    caller_server_.CloseIdle();
   }
+  const bool all_closed =
+      !mesh_.HasIncomingStreams() && caller_server_.IsClosed();
   if (peers_asked_at_ &&
-      (!mesh_.HasIncomingStreams() ||
-       clock_.Now() - *peers_asked_at_ >= plan.peer_timeout)) {
+      (all_closed || clock_.Now() - *peers_asked_at_ >= plan.close_timeout)) {
     Stop();
   }
 }
@@ -95,7 +114,7 @@
     const std::lock_guard lock(target_mutex_);
     load = target_.Load();
   }
-  const std::size_t callers_calls = gate_.in_flight();
+  const std::size_t callers_calls = gate_.in_flight() + gate_.cut_off();
   const bool cuts_off =
       callers_calls > 0 || load.running > 0 || load.waiting > 0;
   log_.Write(log_kind::kProcess,
@@ -110,12 +129,11 @@
   gate_.LogUnfinishedCalls();
 }
 
+// The next check ends the process, once what was sent has left.
 void daemon_internals::Stop() {
   LogEndOfCalls();
   mesh_.Close();
-  drain_timer_.expires_after(2 * kDrainCheckInterval);
-  drain_timer_.async_wait(
-      [this](const boost::system::error_code&) { context_.stop(); });
+  closed_ = true;
 }
 
 }  // namespace parsleyyard
--- a/daemon/stop_plan.cc
+++ b/daemon/stop_plan.cc
@@ -17,9 +17,10 @@
 // The platform allows no stop to cut off a request that was sent 3 s after the
 // stop began or later. The rest is for the delay of the signal.
 constexpr duration kLateAfter = std::chrono::milliseconds(2800);
-constexpr duration kPeerTimeout = std::chrono::milliseconds(200);
-// Part of the time for the end that the wait for the peers may take.
-constexpr int kPeerTimeoutPercent = 40;
+constexpr duration kCloseTimeout = std::chrono::milliseconds(200);
+// Part of the time for the end that the wait for the peers and the callers may
+// take.
+constexpr int kCloseTimeoutPercent = 40;
 
 // Time that is left between the end of the calls and the kill.
 duration EndTime(duration grace) {
@@ -33,14 +34,14 @@
   stop_plan plan{.notice = options.notice,
                  .late_after = kLateAfter,
                  .timeout = options.timeout,
-                 .peer_timeout = kPeerTimeout};
+                 .close_timeout = kCloseTimeout};
   if (options.grace > duration::zero()) {
     const duration end_time = EndTime(options.grace);
     plan.notice =
         std::min(options.notice, options.grace * kMaxNoticePercent / 100);
     plan.timeout = options.grace - end_time;
-    plan.peer_timeout =
-        std::min(kPeerTimeout, end_time * kPeerTimeoutPercent / 100);
+    plan.close_timeout =
+        std::min(kCloseTimeout, end_time * kCloseTimeoutPercent / 100);
   }
   plan.notice = std::min(plan.notice, plan.timeout);
   return plan;
--- a/daemon/stop_plan.h
+++ b/daemon/stop_plan.h
@@ -15,17 +15,18 @@
   duration timeout{};  // calls.drain_timeout, used if there is no grace time
 };
 
-// All times count from the request to stop, apart from peer_timeout.
+// All times count from the request to stop, apart from close_timeout.
 struct stop_plan {
   // The stop is announced until then, while new requests are accepted.
   duration notice{};
   // Requests of callers that arrive later are refused if their deadline lies
   // beyond `timeout`. Earlier ones may be cut off while they run.
   duration late_after{};
-  // Calls in flight are cut off then.
+  // Calls in flight have ended by then, or end as unknown.
   duration timeout{};
-  // Longest wait, after the calls, for the peers to stop sending.
-  duration peer_timeout{};
+  // Longest wait, after the calls, for the peers to stop sending and for the
+  // last responses to be written.
+  duration close_timeout{};
 };
 
 // Returns the times of a stop. They leave a part of the grace time for the end
--- a/model/messages_generated.h
+++ b/model/messages_generated.h
@@ -204,10 +204,12 @@
   bool operator==(const call_attach&) const = default;
 };
 
-// Cancels an attempt whose caller disconnected: it need not start, or is to be
-// aborted.
+// Cancels an attempt that nobody waits for any more: it need not start, or is
+// to be aborted.
 struct call_cancel {
-  call_id id;  // id of the attempt
+  call_id id;                   // id of the attempt
+  bool unless_written = false;  // true: an attempt whose request was written to
+                                // the instance goes on
   bool operator==(const call_cancel&) const = default;
 };
 
--- a/tests/processes_test.py
+++ b/tests/processes_test.py
@@ -99,6 +99,44 @@
             self.assertGreater(line["callers_calls"] + line["instance_runs"], 0)
 
 
+    def book(self, host, attempt, answers):
+        """Sends a call that may not be repeated; notes its status and outcome, or that the connection was closed."""
+        request = urllib.request.Request(f"http://{host.address}:8080/agenda/x", data=b"slot", method="POST",
+                                         headers={"Host": fleet.VIRTUAL_HOST, "Attempt-Id": attempt})
+        try:
+            with urllib.request.urlopen(request, timeout=30) as response:
+                answers[attempt] = (response.status, "answer")
+        except urllib.error.HTTPError as error:
+            answers[attempt] = (error.code, error.headers["x-parsleyyard-outcome"])
+        except OSError as error:
+            answers[attempt] = (0, repr(error))
+
+    def test_calls_that_wait_at_another_daemon_are_answered(self):
+        """Guards against connections closed without an answer at the end of a stop, whose calls run later (review/2)."""
+        slow = {**fleet.FAROLITO, "regions": {"montevideo": ["mvd-a"]}, "services": {"vitrina": 1, "agenda": 1},
+                "slots": 1, "service_ms": 1000,
+                "routes": [{"name": "slots", "spec": {"prefix": "/agenda/", "service": "agenda", "kind": "non_idempotent",
+                                                      "timeout-ms": 20000, "target-latency-ms": 18000}}]}
+        with self.fleet(profile=slow, settings=self.settings_for_grace(3), region_link=False) as f:
+            f.wait_ready()
+            stopping, other = f.hosts
+            answers, threads = {}, []
+            for i, host in enumerate([other] * 4 + [stopping] * 4):
+                threads.append(threading.Thread(target=self.book, args=(host, f"wait-{i}", answers)))
+                threads[-1].start()
+                time.sleep(0.05)
+            self.assertEqual(f.terminate("daemon-" + stopping.address), 0)
+            for thread in threads:
+                thread.join()
+            ran = (f.out_dir / (other.instance + ".exec")).read_text()
+            for i in range(8):
+                attempt = f"wait-{i}"
+                status, outcome = answers[attempt]
+                self.assertIn((status, outcome), [(200, "answer"), (503, "not_run")], answers)
+                self.assertEqual(attempt in ran, status == 200, (attempt, answers, ran))
+            self.assertEqual(sum(answers[f"wait-{i}"][0] == 200 for i in range(4)), 4, answers)
+
+
 class FaultsTest(ProcessesCase):
     def test_history_stays_valid_under_overlapping_faults(self):
         with self.fleet(cold_ms=500) as f:
--- a/tests/stop_plan_test.cc
+++ b/tests/stop_plan_test.cc
@@ -30,7 +30,7 @@
   const stop_plan plan = PlanForGrace(seconds(6));
   EXPECT_EQ(plan.notice, duration(milliseconds(2300)));
   EXPECT_EQ(plan.timeout, duration(milliseconds(5500)));
-  EXPECT_EQ(plan.peer_timeout, duration(milliseconds(200)));
+  EXPECT_EQ(plan.close_timeout, duration(milliseconds(200)));
 }
 
 // Guards against a request with 4 s to its deadline that came before the
@@ -45,7 +45,7 @@
 TEST(StopPlan, EndsBeforeTheKill) {
   for (const duration grace : kGraceTimes) {
     const stop_plan plan = PlanForGrace(grace);
-    EXPECT_LT(plan.timeout + plan.peer_timeout, grace) << grace.count();
+    EXPECT_LT(plan.timeout + plan.close_timeout, grace) << grace.count();
     EXPECT_LE(plan.notice, plan.timeout) << grace.count();
   }
 }
@@ -78,7 +78,7 @@
       PlanStop({.notice = milliseconds(700), .timeout = milliseconds(1500)});
   EXPECT_EQ(plan.notice, duration(milliseconds(700)));
   EXPECT_EQ(plan.timeout, duration(milliseconds(1500)));
-  EXPECT_EQ(plan.peer_timeout, duration(milliseconds(200)));
+  EXPECT_EQ(plan.close_timeout, duration(milliseconds(200)));
   EXPECT_EQ(
       PlanStop({.notice = seconds(9), .timeout = milliseconds(1500)}).notice,
       duration(milliseconds(1500)));
--- a/wire/codec_generated.h
+++ b/wire/codec_generated.h
@@ -12,7 +12,7 @@
 namespace parsleyyard {
 
 // Format version of all messages; a peer with a different version is refused.
-inline constexpr std::uint16_t kFormatVersion = 4;
+inline constexpr std::uint16_t kFormatVersion = 5;
 
 // Any message that daemons send to each other.
 using any_message = std::variant<link_hello,
@@ -124,6 +124,7 @@
 template <class Archive>
 void serialize(Archive& archive, call_cancel& value) {
   archive(value.id);
+  archive(checked_bool{value.unless_written});
 }
 
 template <class Archive>
