Refuse waiting calls once nothing can let them run

Callers saw a 504 with an unknown outcome for calls that had waited beside a busy instance and had not run: a waiting call was checked again only when a slot was free, whether its instance had begun to leave, its failure domain had been evacuated or its deadline had come.

The call target checks waiting calls when the view has changed, and at their deadline, and refuses those that no later state lets run. Reasons that pass, such as a pause or a refused connection, still wait.

Three tests stopping_target_fixture.RefusesWaitingCalls... failed before.

--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -216,6 +216,7 @@
     upstream_.Probe();
   }
   table_.Expire(now);
+  RefuseHopelessCalls(now);
   RefuseCallsThatOutlastDaemon(now);
   StartWaitingCalls();
 }
--- a/calls/target_internals.h
+++ b/calls/target_internals.h
@@ -69,6 +69,7 @@
   void StartWaitingCalls();
   void StartOrRefuse(const waiting_call& next, instant now);
   bool IsTooLate(const waiting_call& next, instant now) const;
+  void RefuseHopelessCalls(instant now);
   void RefuseCallsThatOutlastDaemon(instant now);
   void WithholdUnwrittenCalls();
   void EndAttempt(const call_id& id, call_answer answer);
@@ -102,6 +103,8 @@
   bool refuses_new_calls_ = false;
   instant end_at_ = instant::max();  // the daemon stops then
   bool withholds_unwritten_ = false;
+  // The waiting calls were checked against it.
+  std::shared_ptr<const snapshot> checked_view_;
 };
 
 }  // namespace parsleyyard
--- a/calls/target_runs.cc
+++ b/calls/target_runs.cc
@@ -19,6 +19,19 @@
 // connection to the instance are refused. It suffices for the answer.
 constexpr duration kWithholdTime = std::chrono::milliseconds(300);
 
+// True if no later state of the instance or the view lets the call run.
+bool IsFinal(refusal_reason reason) {
+  switch (reason) {
+    case refusal_reason::kLeaving:
+    case refusal_reason::kFailureDomainOut:
+    case refusal_reason::kWrongInstance:
+    case refusal_reason::kDeadlinePassed:
+      return true;
+    default:
+      return false;
+  }
+}
+
 }  // namespace
 
 void target_internals::StartWaitingCalls() {
@@ -55,6 +68,25 @@
                                             : refusal_reason::kNone;
 }
 
+// Refuses the waiting calls that could not start any more. Otherwise they would
+// wait until a slot is free. The view is searched only if it has changed.
+void target_internals::RefuseHopelessCalls(instant now) {
+  const bool view_changed = checked_view_ != view_.Current();
+  checked_view_ = view_.Current();
+  for (const waiting_call& call : queue_.List()) {
+    const table_entry& entry = *table_.Find(call.id);
+    const bool past_deadline = now + kMinRunTime >= entry.deadline;
+    if (!view_changed && !past_deadline) {
+      continue;
+    }
+    const refusal_reason refusal = FindStartRefusal(entry, now);
+    if (IsFinal(refusal)) {
+      queue_.Remove(call.id);
+      RefuseWaitingCall(call.id, refusal);
+    }
+  }
+}
+
 // The senders of calls that this daemon can't finish learn it in time to place
 // them elsewhere, or to tell their callers.
 void target_internals::RefuseCallsThatOutlastDaemon(instant now) {
--- a/calls/wait_queue.h
+++ b/calls/wait_queue.h
@@ -51,6 +51,10 @@
   // Removes and returns the newest call of the least urgent priority; empty if
   // no call is less urgent than `priority`.
   std::optional<waiting_call> PopLessUrgent(std::uint32_t priority);
+  // Returns the waiting calls in the order in which they start.
+  std::vector<waiting_call> List() const {
+    return {calls_.begin(), calls_.end()};
+  }
   // Removes and returns the calls that are not expected to end within `left`.
   std::vector<waiting_call> PopCallsThatOutlast(
       duration left,
--- a/tests/stop_test.cc
+++ b/tests/stop_test.cc
@@ -208,6 +208,47 @@
   EXPECT_EQ(answers_[1].outcome, call_outcome::kAnswer);
 }
 
+// Guards against calls that wait for a slot although nothing can let them run
+// any more: their callers would learn it only at the deadline, as unknown.
+TEST_F(stopping_target_fixture, RefusesWaitingCallsOnceTheInstanceLeaves) {
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    CallWithTime(i);
+  }
+  ASSERT_EQ(started_.size(), 2U);
+  known_instance draining = Instance("i", "10.0.0.1", "north-a");
+  draining.registration.draining = true;
+  SetView({draining});
+  target_->Tick();
+  ASSERT_TRUE(answers_.contains(3));
+  EXPECT_EQ(answers_[3].outcome, call_outcome::kNotRun);
+  EXPECT_EQ(answers_[3].reason, refusal_reason::kLeaving);
+}
+
+TEST_F(stopping_target_fixture, RefusesWaitingCallsOnceTheDomainIsEvacuated) {
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    CallWithTime(i);
+  }
+  SetView({Instance("i", "10.0.0.1", "north-a")});
+  view_->evacuated.insert("north-a");
+  target_->Tick();
+  ASSERT_TRUE(answers_.contains(3));
+  EXPECT_EQ(answers_[3].reason, refusal_reason::kFailureDomainOut);
+}
+
+TEST_F(stopping_target_fixture, RefusesWaitingCallsJustBeforeTheirDeadline) {
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    Call(i);  // one second until the deadline
+  }
+  clock_.now += milliseconds(960);
+  target_->Tick();
+  EXPECT_FALSE(answers_.contains(3));
+  clock_.now += milliseconds(30);
+  target_->Tick();
+  ASSERT_TRUE(answers_.contains(3));
+  EXPECT_EQ(answers_[3].outcome, call_outcome::kNotRun);
+  EXPECT_EQ(answers_[3].reason, refusal_reason::kDeadlinePassed);
+}
+
 TEST(WaitQueue, CallsBehindOnesThatAreTakenOutMoveUp) {
   wait_queue queue;
   const instance_capacity capacity{
