Compute a daemon's place in the fleet once for each view

Ranks, peers and whether the daemon is listed were searched in the view at each tick, 50 times a second, in sets and lists of all instances. They change only with the view.

--- a/control/control.h
+++ b/control/control.h
@@ -135,6 +135,21 @@
                                   const host_address& self,
                                   const region_map& regions);
 
+// A daemon's place among its peers.
+struct fleet_place {
+  std::vector<relay_peer> peers;    // as ListPeers() returns them
+  std::size_t peers_in_region = 0;  // peers of the daemon's region
+  std::size_t rank = 0;             // peers before it in the address order
+  std::size_t rank_in_region = 0;   // those of its region
+  // Its instance is registered, so that peers know it and send it updates.
+  bool is_listed = false;
+};
+
+fleet_place FindPlace(const snapshot& view,
+                      const host_address& self,
+                      const std::string& region,
+                      const region_map& regions);
+
 // A part of a region in the address order. The receiver of an update passes it
 // on to the other daemons within the range.
 struct relay_range {
@@ -298,11 +313,7 @@
   duration TimeSinceNews(instant now) const { return now - news_at_; }
   void Send(const host_address& to, view_update copy) const;
   duration TakeoverAge(instant now) const;
-  std::size_t Rank() const;
-  bool IsListed() const;
   bool BringsUpToDate(const host_address& peer) const;
-  std::size_t RankInRegion() const;
-  std::size_t CountPeersInRegion() const;
   bool WaitsForStartupReaders() const;
   bool ReadsForRegionAtStart() const;
   void SendFullUpdateToRegion() const;
@@ -392,6 +403,7 @@
   instant news_at_{};
   transit_clock transit_clock_;
   std::shared_ptr<const snapshot> view_ = std::make_shared<const snapshot>();
+  fleet_place place_;  // in `view_`
 
   bool read_in_flight_ = false;
   bool active_reader_ = false;     // this daemon polls the store for the others
--- a/control/relay_plan.cc
+++ b/control/relay_plan.cc
@@ -95,6 +95,25 @@
   return list;
 }
 
+fleet_place FindPlace(const snapshot& view,
+                      const host_address& self,
+                      const std::string& region,
+                      const region_map& regions) {
+  fleet_place place{.peers = ListPeers(view, self, regions)};
+  const std::uint64_t own = AddressOrder(self);
+  for (const relay_peer& peer : place.peers) {
+    const bool before = AddressOrder(peer.address) < own;
+    const bool near = peer.region == region;
+    place.rank += before ? 1 : 0;
+    place.peers_in_region += near ? 1 : 0;
+    place.rank_in_region += before && near ? 1 : 0;
+  }
+  place.is_listed = std::any_of(
+      view.instances.begin(), view.instances.end(),
+      [&](const auto& item) { return item.second.registration.host == self; });
+  return place;
+}
+
 std::uint64_t AddressOrder(const host_address& address) {
   return XXH3_64bits(address.data(), address.size());
 }
--- a/control/view_items.cc
+++ b/control/view_items.cc
@@ -371,6 +371,8 @@
     next->by_service[known.registration.service].push_back(&known);
   }
   view_ = std::move(next);
+  place_ =
+      FindPlace(*view_, options_.address, options_.region, options_.regions);
   listener_.OnSnapshot(view_);
 }
 
--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -104,61 +104,22 @@
 // When to read
 // ---------------------------------------------------------------------------
 
+// Peers with the state of the links to them.
 std::vector<relay_peer> view_keeper::Peers() const {
-  std::vector<relay_peer> peers =
-      ListPeers(*view_, options_.address, options_.regions);
+  std::vector<relay_peer> peers = place_.peers;
   for (relay_peer& peer : peers) {
     peer.reachable = transport_.IsReachable(peer.address);
   }
   return peers;
 }
 
-// Number of daemons before this one in the address order.
-std::size_t view_keeper::Rank() const {
-  const std::uint64_t own = AddressOrder(options_.address);
-  std::set<host_address> before;
-  for (const auto& [id, known] : view_->instances) {
-    if (AddressOrder(known.registration.host) < own) {
-      before.insert(known.registration.host);
-    }
-  }
-  return before.size();
-}
-
-std::size_t view_keeper::CountPeersInRegion() const {
-  const std::vector<relay_peer> peers = Peers();
-  return static_cast<std::size_t>(std::count_if(
-      peers.begin(), peers.end(),
-      [&](const relay_peer& peer) { return peer.region == options_.region; }));
-}
-
-// Number of peers of the region before this daemon in the address order.
-std::size_t view_keeper::RankInRegion() const {
-  const std::uint64_t own = AddressOrder(options_.address);
-  const std::vector<relay_peer> peers = Peers();
-  return static_cast<std::size_t>(
-      std::count_if(peers.begin(), peers.end(), [&](const relay_peer& peer) {
-        return peer.region == options_.region &&
-               AddressOrder(peer.address) < own;
-      }));
-}
-
-// True if this daemon's instance is registered, so that peers know the daemon
-// and send it updates.
-bool view_keeper::IsListed() const {
-  return std::any_of(view_->instances.begin(), view_->instances.end(),
-                     [&](const auto& item) {
-                       return item.second.registration.host == options_.address;
-                     });
-}
-
 // Age of the view from which this daemon reads the store itself. The first
 // daemon in the address order reads all the time, except for a time after a
 // failed read; the others read only if no updates arrive.
 duration view_keeper::TakeoverAge(instant now) const {
-  const std::size_t rank = Rank();
+  const std::size_t rank = place_.rank;
   const bool is_first_choice =
-      rank == 0 && IsListed() && now >= back_off_until_;
+      rank == 0 && place_.is_listed && now >= back_off_until_;
   if (is_first_choice) {
     return duration::zero();
   }
@@ -176,12 +137,12 @@
 // its end as soon as if each read all the time.
 duration view_keeper::OutageReadDelay() const {
   const bool is_preferred =
-      Rank() < kPreferredReaders || RankInRegion() < kRegionReaders;
+      place_.rank < kPreferredReaders || place_.rank_in_region < kRegionReaders;
   if (is_preferred) {
     return kFailedReadDelay;
   }
   const duration interval = duration(seconds(1)) *
-                            static_cast<int>(Peers().size()) /
+                            static_cast<int>(place_.peers.size()) /
                             kOutageReadsPerSecond;
   const double spread =
       static_cast<double>(AddressOrder(options_.address)) /
@@ -194,7 +155,8 @@
 // sends its result to them. An unlisted daemon does not wait, since the active
 // reader may not know of it.
 duration view_keeper::FullReadDelay() const {
-  const bool reads_at_once = Rank() < kPreferredReaders || !IsListed();
+  const bool reads_at_once =
+      place_.rank < kPreferredReaders || !place_.is_listed;
   return reads_at_once ? duration::zero() : kFullReadDelay;
 }
 
@@ -233,7 +195,7 @@
       now >= next_takeover_ && TimeSinceNews(now) >= TakeoverAge(now)) {
     // An unlisted daemon reads for itself: when a fleet starts, none is listed
     // yet, and each would read for all.
-    active_reader_ = IsListed();
+    active_reader_ = place_.is_listed;
     needs_catch_up_ = !active_reader_;
     if (active_reader_) {
       Report("became active reader", options_.address);
--- a/control/view_updates.cc
+++ b/control/view_updates.cc
@@ -51,13 +51,14 @@
 // True if two other daemons of the region read the whole store at its start and
 // send it to this one.
 bool view_keeper::WaitsForStartupReaders() const {
-  return CountPeersInRegion() > kSmallRegionPeers && IsListed() &&
-         RankInRegion() >= kRegionReaders;
+  return place_.peers_in_region > kSmallRegionPeers && place_.is_listed &&
+         place_.rank_in_region >= kRegionReaders;
 }
 
 // True if this daemon is the first of a large region.
 bool view_keeper::ReadsForRegionAtStart() const {
-  return CountPeersInRegion() > kSmallRegionPeers && RankInRegion() == 0;
+  return place_.peers_in_region > kSmallRegionPeers &&
+         place_.rank_in_region == 0;
 }
 
 view_update view_keeper::EmptyUpdate(std::uint64_t from_revision) const {
@@ -185,9 +186,9 @@
   }
   needs_catch_up_ = true;
   Report("update not applied", "", "an earlier one is missing");
-  const std::size_t rank = RankInRegion();
+  const std::size_t rank = place_.rank_in_region;
   const bool reads_for_region =
-      CountPeersInRegion() > kSmallRegionPeers && IsListed();
+      place_.peers_in_region > kSmallRegionPeers && place_.is_listed;
   shares_next_read_ = reads_for_region && rank < kRegionReaders;
   if (reads_for_region && rank > 0) {
     next_read_ =
@@ -357,7 +358,7 @@
 // Peers do not know of an unlisted daemon, whose instance is not registered yet
 // or no longer. It requests updates from them at regular intervals.
 void view_keeper::RequestUpdatesIfUnlisted(instant now) {
-  if (!HasView() || now < next_update_request_ || IsListed()) {
+  if (!HasView() || now < next_update_request_ || place_.is_listed) {
     return;
   }
   next_update_request_ = now + kUpdateRequestInterval;
@@ -384,13 +385,13 @@
   const auto found = std::find_if(
       peers.begin(), peers.end(),
       [&](const relay_peer& each) { return each.address == peer; });
-  const bool is_large = CountPeersInRegion() > kSmallRegionPeers;
+  const bool is_large = place_.peers_in_region > kSmallRegionPeers;
   if (found == peers.end() || !is_large) {
     return true;
   }
   if (found->region != options_.region) {
     const auto readers = FirstOfRegion(found->region, peers, kRegionReaders);
-    return RankInRegion() < kRegionReaders &&
+    return place_.rank_in_region < kRegionReaders &&
            std::find(readers.begin(), readers.end(), peer) != readers.end();
   }
   const auto predecessors =
@@ -414,8 +415,8 @@
 // another region through its readers.
 void view_keeper::ShareFirstView() const {
   if (TimeSinceNews(clock_.Now()) >= options_.stale_after &&
-      CountPeersInRegion() > kSmallRegionPeers &&
-      RankInRegion() < kRegionReaders) {
+      place_.peers_in_region > kSmallRegionPeers &&
+      place_.rank_in_region < kRegionReaders) {
     SendFullUpdateToRegion();
   }
 }
