Request missed updates from peers, not by a turn to read the store

Cause: an update is lost with the daemon that was to pass it on. A daemon that sees the gap in a large region then waited for the full view from two readers, which send it only if they missed the update as well, and for its turn to read the store: 0.7 s and 40 ms for each daemon before it, during which neither the age of its view nor later updates counted. At 35,000 daemons that is minutes.

Now it asks peers: two of its failure domain first, then any of its region, every 200 ms another one. Each keeps the latest updates (512 KB at most) and sends those that are missing, and its next updates for 1.6 s, so that news spreads from any daemon that has it. A daemon that hears nothing for 1 s asks as well. The store is read if no peer has helped for 0.7 to 1.7 s (0.3 s: the first daemon of the region, which passes the changes on to it, in place of the full view).

--- a/control/control.h
+++ b/control/control.h
@@ -17,6 +17,7 @@
 #ifndef PARSLEYYARD_CONTROL_CONTROL_H_
 #define PARSLEYYARD_CONTROL_CONTROL_H_
 
+#include "control/update_log.h"
 #include "model/model.h"
 #include "model/pause_guard.h"
 #include "model/transit_clock.h"
@@ -210,8 +211,8 @@
 // 4. View keeper
 // ---------------------------------------------------------------------------
 
-// Sends updates to peers. Updates may be lost: a peer that misses one reads the
-// store.
+// Sends updates to peers. Updates may be lost: a peer that misses one requests
+// it from others or reads the store.
 class view_transport {
  public:
   virtual ~view_transport() = default;
@@ -316,9 +317,17 @@
   bool BringsUpToDate(const host_address& peer) const;
   bool WaitsForStartupReaders() const;
   bool ReadsForRegionAtStart() const;
+  void RelayToRegion(const view_update& update) const;
   void SendFullUpdateToRegion() const;
   void ShareFirstView() const;
+  bool AsksPeers() const;
   void MissUpdate();
+  duration HelpTime() const;
+  void RequestMissedUpdates(instant now);
+  std::optional<host_address> PickPeerToAsk() const;
+  std::string OwnFailureDomain() const;
+  void EndCatchUp();
+  void SendUpdatesSince(std::uint64_t revision, const host_address& peer) const;
   void RequestUpdates() const;
   void RequestUpdatesIfUnlisted(instant now);
   void SendToSubscribers(const view_update& update);
@@ -410,10 +419,15 @@
   instant next_update_request_{};  // earliest time of the next request to peers
   // Peers that requested updates, with the time of their last request.
   std::map<host_address, instant> subscribers_;
-  bool needs_full_read_ = true;          // the next read must be a full one
-  bool state_read_ = false;              // the first read is complete
-  bool needs_catch_up_ = false;          // updates were missed; read at once
+  bool needs_full_read_ = true;  // the next read must be a full one
+  bool state_read_ = false;      // the first read is complete
+  // Updates were missed: they are requested from peers, or read.
+  bool needs_catch_up_ = false;
+  bool needs_whole_view_ = false;  // what peers sent can't be unpacked
+  instant next_request_{};         // earliest time of the next such request
+  unsigned requests_without_news_ = 0;   // in a row
   bool shares_next_read_ = false;        // send the result to the region
+  update_log update_log_;                // for peers that missed updates
   bool failed_since_confirmed_ = false;  // a read failed after confirmed_at_
   instant config_changed_at_ = instant::min() / 2;
   instant read_started_at_{};
--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -183,6 +183,7 @@
   DropHeldItems(now);
   ShowHiddenItems(now);
   RequestUpdatesIfUnlisted(now);
+  RequestMissedUpdates(now);
   const bool stale = HasView() && Age(now) > kStoreOutageAge;
   if (stale != stale_reported_) {
     stale_reported_ = stale;
@@ -288,6 +289,8 @@
   position_ = HasView() ? std::max(position_, position) : position;
   failed_since_confirmed_ &= TimeSinceNews(clock_.Now()) >= kStoreOutageAge;
   next_takeover_ = instant();
+  requests_without_news_ = 0;
+  next_request_ = instant();
 }
 
 // A full read does not list removals: a cached item that it lacks was removed.
@@ -427,19 +430,22 @@
     PublishSnapshot();
   }
   const bool shares_read = std::exchange(shares_next_read_, false);
-  if (is_first_view ? ReadsForRegionAtStart() : shares_read) {
-    SendFullUpdateToRegion();
-  }
-  if (is_first_view || !active_reader_) {
-    return;
-  }
   StampUpdate(update);
-  // The daemon beside an instance that was removed is no peer any more, but
-  // must hear of it.
-  Relay(update,
-        PlanFromOriginator(options_.address, options_.region,
-                           UnionOf(peers_before, Peers()), options_.fan_out));
+  is_first_view || begins_era ? update_log_.Clear()
+                              : update_log_.Add(update, confirmed_at_);
+  if (is_first_view) {
+    return ReadsForRegionAtStart() ? SendFullUpdateToRegion() : void();
+  }
   SendToSubscribers(update);
+  if (active_reader_) {
+    // The daemon beside an instance that was removed is no peer any more, but
+    // must hear of it.
+    Relay(update,
+          PlanFromOriginator(options_.address, options_.region,
+                             UnionOf(peers_before, Peers()), options_.fan_out));
+  } else if (shares_read) {
+    RelayToRegion(update);
+  }
 }
 
 void view_keeper::Report(std::string_view name,
--- a/control/view_updates.cc
+++ b/control/view_updates.cc
@@ -2,6 +2,7 @@
 // applies them.
 
 #include "control/control.h"
+#include "control/view_internals.h"
 
 #include <xxhash.h>
 
@@ -14,30 +15,11 @@
 
 // Values of fewer bytes are sent whole: a delta saves nothing.
 constexpr std::size_t kMinDeltaBytes = 4096;
-// In a region with more peers than this, all daemons but the first two wait at
-// their start for the full view from those two: the configuration of a large
-// fleet has hundreds of kilobytes, and the link between two regions can carry
-// it only a few times per second.
-constexpr std::size_t kSmallRegionPeers = 8;
-// In such a region, wait of the other daemons for the full view after a missed
-// update, and what each place in the address order adds to it.
-constexpr duration kSharedReadDelay = std::chrono::milliseconds(700);
-constexpr duration kSharedReadStep = std::chrono::milliseconds(40);
-// An unlisted daemon requests updates at this interval. A peer sends it updates
-// until no request has arrived for the timeout.
-constexpr duration kUpdateRequestInterval = std::chrono::milliseconds(500);
-constexpr duration kSubscriptionTimeout = std::chrono::milliseconds(1600);
 // An update without a newer revision that confirms the view by no more than
 // this is a duplicate. Forwarding it would create a loop between two daemons
 // that requested updates from each other.
 constexpr duration kDuplicateUpdateWindow = std::chrono::milliseconds(100);
 
-std::uint32_t ToMilliseconds(duration value) {
-  constexpr duration::rep kMax = std::numeric_limits<std::uint32_t>::max();
-  return static_cast<std::uint32_t>(
-      std::clamp<duration::rep>(value.count() / 1000, 0, kMax));
-}
-
 std::uint64_t HashOf(const std::string& value) {
   return XXH3_64bits(value.data(), value.size());
 }
@@ -177,26 +159,6 @@
   }
 }
 
-// Handles an update whose base this daemon does not have. In a large region the
-// first two daemons read the store and send the full view to the others: the
-// link to another region does not carry it to all of them at once.
-void view_keeper::MissUpdate() {
-  if (!HasView() || needs_catch_up_) {
-    return;
-  }
-  needs_catch_up_ = true;
-  Report("update not applied", "", "an earlier one is missing");
-  const std::size_t rank = place_.rank_in_region;
-  const bool reads_for_region =
-      place_.peers_in_region > kSmallRegionPeers && place_.is_listed;
-  shares_next_read_ = reads_for_region && rank < kRegionReaders;
-  if (reads_for_region && rank > 0) {
-    next_read_ =
-        std::max(next_read_, clock_.Now() + kSharedReadDelay +
-                                 kSharedReadStep * static_cast<int>(rank));
-  }
-}
-
 void view_keeper::OnUpdate(view_update message) {
   const instant now = clock_.Now();
   ObservePause(now);
@@ -218,9 +180,6 @@
   const instant confirmed = now - std::chrono::milliseconds(message.age_ms);
   const bool is_new =
       offered > position_ || confirmed > confirmed_at_ + kDuplicateUpdateWindow;
-  if (is_new) {
-    SendToSubscribers(message);
-  }
   if (MayHaveMissedOutage(now)) {
     removals_held_until_ =
         std::max(removals_held_until_,
@@ -235,8 +194,14 @@
     return MissEra(message.root);
   }
   if (message.from_revision > position_.revision || !items) {
+    needs_whole_view_ |= message.from_revision <= position_.revision;
     return MissUpdate();
   }
+  // Only what is applied here: two daemons that miss the same update and have
+  // requested it from each other would else send the next one round and round.
+  if (is_new) {
+    SendToSubscribers(message);
+  }
   const bool originator_comes_first =
       AddressOrder(message.root) < AddressOrder(options_.address);
   if (active_reader_ && originator_comes_first) {
@@ -253,17 +218,20 @@
                          : ApplyItem(item, offered.era);
   }
   // No change is missing any more, but after a pause an own read is needed.
-  shares_next_read_ = false;
-  needs_full_read_ = false;
-  needs_catch_up_ &=
-      pause_guard_.AwaitsConfirmation(own_read_confirmed_at_, now);
   const bool may_have_waited =
       pause_guard_.AwaitsConfirmation(own_read_confirmed_at_, now);
+  needs_full_read_ = false;
+  shares_next_read_ = false;
+  if (!may_have_waited) {
+    EndCatchUp();
+  }
   // Without a view nothing was confirmed before.
   const bool is_first_view = !HasView();
   const instant known_at = is_first_view ? instant::min() / 2 : confirmed_at_;
   ConfirmPosition(offered, may_have_waited ? known_at : confirmed,
                   may_have_waited ? news_at_ : news_at);
+  is_full ? update_log_.Clear()
+          : update_log_.Add(std::move(message), confirmed);
   if (changed) {
     PublishSnapshot();
   }
@@ -306,31 +274,19 @@
   return full_update;
 }
 
-// Sends the full view to all daemons of a large region, which wait for it when
-// the whole fleet starts or when all have missed an update.
-void view_keeper::SendFullUpdateToRegion() const {
+// Sends an update to all daemons of this region.
+void view_keeper::RelayToRegion(const view_update& update) const {
   const relay_range all{.first = 0,
                         .last = std::numeric_limits<std::uint64_t>::max()};
-  Relay(BuildFullUpdate(),
+  Relay(update,
         PlanWithinRange(options_.address, options_.region, options_.address,
                         all, Peers(), options_.fan_out));
 }
 
-void view_keeper::SendRequest(const host_address& peer) const {
-  view_update request = EmptyUpdate(position_.revision);
-  request.to_revision = 0;
-  Send(peer, request);
-}
-
-// A daemon without a view gets the full one besides, and so does one whose view
-// is of an earlier era: it asks only if it can't read the store.
-void view_keeper::AnswerRequest(const view_update& request) {
-  subscribers_[request.root] = clock_.Now();
-  const bool is_behind =
-      request.from_revision == 0 || request.era < position_.era;
-  if (HasView() && is_behind) {
-    Send(request.root, BuildFullUpdate());
-  }
+// Sends the full view to all daemons of a large region, which wait for it when
+// the whole fleet starts.
+void view_keeper::SendFullUpdateToRegion() const {
+  RelayToRegion(BuildFullUpdate());
 }
 
 // Handles an update of a new era that can't be applied.
@@ -346,38 +302,6 @@
   }
 }
 
-// Requests updates from the readers of the region. To a daemon that has just
-// started they also send the full view.
-void view_keeper::RequestUpdates() const {
-  for (const host_address& reader :
-       FirstOfRegion(options_.region, Peers(), kRegionReaders)) {
-    SendRequest(reader);
-  }
-}
-
-// Peers do not know of an unlisted daemon, whose instance is not registered yet
-// or no longer. It requests updates from them at regular intervals.
-void view_keeper::RequestUpdatesIfUnlisted(instant now) {
-  if (!HasView() || now < next_update_request_ || place_.is_listed) {
-    return;
-  }
-  next_update_request_ = now + kUpdateRequestInterval;
-  RequestUpdates();
-}
-
-void view_keeper::SendToSubscribers(const view_update& update) {
-  const instant now = clock_.Now();
-  std::erase_if(subscribers_, [&](const auto& subscriber) {
-    return now - subscriber.second > kSubscriptionTimeout;
-  });
-  for (const auto& [address, requested_at] : subscribers_) {
-    view_update copy = update;
-    copy.cover_from = relay_range().first;
-    copy.cover_to = relay_range().last;
-    Send(address, copy);
-  }
-}
-
 // True if this daemon is one of the few that send the full view to a peer that
 // has started. Between two large regions only their readers send it.
 bool view_keeper::BringsUpToDate(const host_address& peer) const {
--- a/tests/view_world.cc
+++ b/tests/view_world.cc
@@ -152,6 +152,7 @@
     ++incarnation;
     alive = true;
     peer_incarnations.clear();
+    failed_at.clear();
     keeper = std::make_unique<view_keeper>(
         view_options{.address = HostOf(index),
                      .region = RegionOfDomain(index % kDomains),
@@ -233,6 +234,10 @@
     if (peers_partitioned || world.nodes_[target]->peers_partitioned) {
       return;
     }
+    if (!world.nodes_[target]->alive) {
+      failed_at[target] = world.clock_.now;
+      return;
+    }
     world.Deliver(
         target, kPeerDelay,
         [message, from = index, from_incarnation = incarnation](node& n) {
@@ -241,7 +246,13 @@
         });
   }
   bool IsReachable(const host_address& peer) const override {
-    return world.nodes_[world.IndexOf(peer)]->alive;
+    const int target = world.IndexOf(peer);
+    if (!world.unreachable_period_) {
+      return world.nodes_[target]->alive;
+    }
+    const auto failed = failed_at.find(target);
+    return failed == failed_at.end() ||
+           world.clock_.now - failed->second >= *world.unreachable_period_;
   }
   void OnSnapshot(std::shared_ptr<const snapshot> /*view*/) override {}
   void OnEvent(const view_event& /*event*/) override {}
@@ -258,6 +269,7 @@
   store_position highest_position;
   // Events that arrive while the daemon is suspended.
   std::vector<std::function<void()>> deferred;
+  std::map<int, instant> failed_at;  // of sends to lost peers
   // Last known incarnation of each peer.
   std::map<int, int> peer_incarnations;
   std::unique_ptr<view_keeper> keeper;
--- a/tests/view_world.h
+++ b/tests/view_world.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -110,6 +111,11 @@
   void SetStoreBusy(bool busy);
   void SetStorePartition(int daemon, bool partitioned);
   void SetPeerPartition(int daemon, bool partitioned);
+  // From now on a daemon that sends to a lost one takes it for unreachable for
+  // this long only, and what it sends there is lost without an error. Zero: it
+  // never notices, as with streams that have gone silent. Before, all know
+  // which daemons are lost.
+  void SetUnreachablePeriod(duration period) { unreachable_period_ = period; }
   void SetSuspended(int daemon, bool suspended);
   void Kill(int daemon);
   void Start(int daemon);
@@ -152,6 +158,7 @@
   std::vector<std::unique_ptr<node>> nodes_;
   bool store_down_ = false;
   bool store_busy_ = false;
+  std::optional<duration> unreachable_period_;
   instant last_store_fault_at_{};
   instant links_checked_at_{};
   std::uint64_t version_ = 0;
