Send updates around daemons that can't pass them on

Cause: an update to a daemon that was to pass it on was dropped with a log line if no stream could be opened; a lost daemon was chosen for it again after 2 s, while its registration lasts 4.5 s; and one that had just started got updates to pass on before it knew any peer, and passed them on to none.

Now the sender passes the update on itself, to the peers of that part that it can reach; a lost daemon counts as unreachable for 8 s or until a stream in either direction is up; a daemon without peers passes updates on after its first read.

UndeliveredUpdates.GoToTheOthers... and UpdatesAtTheStart.ArePassedOn... failed with each mechanism switched off.

--- a/control/control.h
+++ b/control/control.h
@@ -280,6 +280,9 @@
   // Applies an update of a peer and relays it. If the message requests updates,
   // the peer gets them for some time.
   void OnUpdate(view_update message);
+  // The update could not be sent to the peer. What the peer was to pass on is
+  // sent to the other daemons that it was for.
+  void OnUndelivered(const host_address& to, view_update message);
   // Handles the start of a peer. Sends it the full view if this daemon's view
   // is at least `stale_after` old, as in a store outage, or has what the store
   // lacks, and if it is one of the daemons that bring the peer up to date.
@@ -320,6 +323,8 @@
   void RelayToRegion(const view_update& update) const;
   void SendFullUpdateToRegion() const;
   void ShareFirstView() const;
+  void RelayWithinRange(const view_update& message);
+  void RelayDeferred();
   bool AsksPeers() const;
   void MissUpdate();
   duration HelpTime() const;
@@ -425,9 +430,11 @@
   bool needs_catch_up_ = false;
   bool needs_whole_view_ = false;  // what peers sent can't be unpacked
   instant next_request_{};         // earliest time of the next such request
-  unsigned requests_without_news_ = 0;   // in a row
-  bool shares_next_read_ = false;        // send the result to the region
-  update_log update_log_;                // for peers that missed updates
+  unsigned requests_without_news_ = 0;  // in a row
+  bool shares_next_read_ = false;       // send the result to the region
+  update_log update_log_;               // for peers that missed updates
+  // Updates that arrived before this daemon knew its peers, with the time.
+  std::vector<std::pair<view_update, instant>> deferred_relays_;
   bool failed_since_confirmed_ = false;  // a read failed after confirmed_at_
   instant config_changed_at_ = instant::min() / 2;
   instant read_started_at_{};
--- a/control/view_items.cc
+++ b/control/view_items.cc
@@ -373,6 +373,7 @@
   view_ = std::move(next);
   place_ =
       FindPlace(*view_, options_.address, options_.region, options_.regions);
+  RelayDeferred();
   listener_.OnSnapshot(view_);
 }
 
--- a/control/view_repair.cc
+++ b/control/view_repair.cc
@@ -43,6 +43,9 @@
 // An answer that only confirms the view must be newer by this much.
 constexpr duration kMinAgeGain = std::chrono::milliseconds(100);
 
+// Updates that a daemon keeps for the time when it knows its peers.
+constexpr std::size_t kMaxDeferredRelays = 16;
+
 // Differs by daemon and by request, so that requests spread over the peers.
 std::uint64_t RequestOrder(const host_address& from,
                            const host_address& to,
@@ -53,6 +56,69 @@
 
 }  // namespace
 
+// ---------------------------------------------------------------------------
+// Updates that are about to be lost
+// ---------------------------------------------------------------------------
+
+// Passes an update on to the daemons that this one must cover. A daemon that
+// has just started knows none of them: it does so after its first read.
+void view_keeper::RelayWithinRange(const view_update& message) {
+  if (message.cover_from > message.cover_to) {
+    return;
+  }
+  if (place_.peers.empty()) {
+    if (deferred_relays_.size() < kMaxDeferredRelays) {
+      deferred_relays_.emplace_back(message, clock_.Now());
+    }
+    return;
+  }
+  Relay(message,
+        PlanWithinRange(options_.address, options_.region, message.root,
+                        {.first = message.cover_from, .last = message.cover_to},
+                        Peers(), options_.fan_out));
+}
+
+void view_keeper::RelayDeferred() {
+  if (place_.peers.empty()) {
+    return;
+  }
+  for (auto& [message, arrived_at] : std::exchange(deferred_relays_, {})) {
+    message.age_ms += ToMilliseconds(clock_.Now() - arrived_at);
+    RelayWithinRange(message);
+  }
+}
+
+// Each call leaves out the peers that can't be reached, so that it ends when
+// none is left. A message that could not be sent for another reason is given
+// up.
+void view_keeper::OnUndelivered(const host_address& to, view_update message) {
+  std::vector<relay_peer> peers = Peers();
+  const auto lost =
+      std::find_if(peers.begin(), peers.end(),
+                   [&](const relay_peer& peer) { return peer.address == to; });
+  const bool was_for_others = message.cover_from <= message.cover_to;
+  if (!was_for_others || lost == peers.end() || lost->reachable) {
+    return;
+  }
+  const std::string region = lost->region;
+  std::erase_if(peers, [](const relay_peer& peer) { return !peer.reachable; });
+  const instant sent_at = instant(std::chrono::milliseconds(message.sent_ms));
+  message.age_ms += ToMilliseconds(clock_.Now() - sent_at);
+  const relay_range range{.first = message.cover_from,
+                          .last = message.cover_to};
+  if (region == options_.region) {
+    return Relay(message,
+                 PlanWithinRange(options_.address, region, message.root, range,
+                                 peers, options_.fan_out));
+  }
+  // One daemon of another region passes the update on there.
+  for (relay_step& step : PlanWithinRange(options_.address, region,
+                                          message.root, range, peers, 1)) {
+    step.range = range;
+    Relay(message, {step});
+  }
+}
+
 // ---------------------------------------------------------------------------
 // Missing updates
 // ---------------------------------------------------------------------------
--- a/control/view_updates.cc
+++ b/control/view_updates.cc
@@ -165,10 +165,7 @@
   const instant news_at = now - std::chrono::milliseconds(message.age_ms);
   message.age_ms += ToMilliseconds(transit_clock_.Observe(
       message.sender, std::chrono::milliseconds(message.sent_ms), now));
-  Relay(message,
-        PlanWithinRange(options_.address, options_.region, message.root,
-                        {.first = message.cover_from, .last = message.cover_to},
-                        Peers(), options_.fan_out));
+  RelayWithinRange(message);
   const bool is_request = message.to_revision == 0;
   if (is_request) {
     return AnswerRequest(message);
--- a/net/net.h
+++ b/net/net.h
@@ -87,8 +87,8 @@
   // A stream on which nothing arrives for this long after a probe is closed.
   duration probe_timeout = milliseconds(800);
   // Time for which a peer counts as unreachable after the stream to it ended or
-  // could not be opened.
-  duration unreachable_period = seconds(2);
+  // could not be opened. Longer than registrations outlive lost hosts.
+  duration unreachable_period = seconds(8);
   // Returns the IPv4 address to connect to for a peer. Empty function: the
   // peer's own address. Called with the mutex of the mesh held, so it must not
   // call the mesh.
@@ -159,7 +159,7 @@
             const any_message& message,
             send_mode mode);
   // False for `unreachable_period` after the outgoing stream ended or could not
-  // be opened, unless a new stream has come up since.
+  // be opened, unless a new stream in either direction has come up since.
   bool IsReachable(const host_address& peer) const;
   // A graceful stop takes two calls. BeginClose() closes the listener and asks
   // the peers to send nothing more. Each stream that a peer opened ends when
--- a/net/peer_mesh.cc
+++ b/net/peer_mesh.cc
@@ -303,6 +303,7 @@
       }
     } else {
       link->peer = hello.from;
+      failed_at_.erase(hello.from);
       obsolete = std::exchange(incoming_[hello.from], link);
     }
   }
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -207,6 +207,26 @@
   b.Close();
 }
 
+// Guards against updates that leave out a daemon for seconds after its restart.
+TEST(Mesh, PeerThatOpensAStreamIsReachableAgain) {
+  worker_threads pool;
+  counting_listener first;
+  counting_listener second;
+  mesh_options options{
+      .address = "127.9.0.2", .port = kMeshPort, .incarnation = 2};
+  peer_mesh a(pool.context, options, first);
+  ASSERT_TRUE(ListenOn(a));
+  a.Open("127.9.0.3");
+  EXPECT_TRUE(Eventually([&] { return !a.IsReachable("127.9.0.3"); }));
+  options.address = "127.9.0.3";
+  peer_mesh b(pool.context, options, second);
+  ASSERT_TRUE(ListenOn(b));
+  b.Open("127.9.0.2");
+  EXPECT_TRUE(Eventually([&] { return a.IsReachable("127.9.0.3"); }));
+  a.Close();
+  b.Close();
+}
+
 // Guards against calls that reach whatever listens at 127.0.0.1.
 TEST(Mesh, PeerWithoutValidAddressGetsNoConnection) {
   worker_threads pool;
--- a/tests/missed_updates_test.cc
+++ b/tests/missed_updates_test.cc
@@ -2,6 +2,7 @@
 // lost, and nobody notices. The invariants of the world say by when each daemon
 // that reaches the store must have each change, whatever the size of the fleet.
 
+#include "tests/view_keeper_fixtures.h"
 #include "tests/view_world.h"
 
 #include <gtest/gtest.h>
@@ -156,6 +157,67 @@
   ExpectNoViolations();
 }
 
+// A daemon beside the first of four instances, and an update for all of them.
+struct relaying_keeper {
+  relaying_keeper() {
+    for (int i = 1; i <= 4; ++i) {
+      store.Put("i/" + std::to_string(i),
+                InstanceText("10.0.0." + std::to_string(i), "domain-0"),
+                clock.now);
+    }
+    update.era = store.Position().era;
+    update.from_revision = store.revision();
+    update.to_revision = store.revision();
+    keeper.Tick();
+  }
+  void ReadState() { keeper.OnStateRead(store.AllItems()); }
+
+  manual_clock clock;
+  text_decoder decoder;
+  recording_environment environment;
+  simulated_store store;
+  view_update update{.root = "10.0.0.9",
+                     .cover_from = 0,
+                     .cover_to = std::numeric_limits<std::uint64_t>::max(),
+                     .age_ms = 100};
+  view_keeper keeper{{.address = "10.0.0.1"},
+                     clock,
+                     decoder,
+                     environment,
+                     environment,
+                     environment};
+};
+
+// Guards against updates that are lost for all daemons behind one that can't be
+// reached.
+TEST(UndeliveredUpdates, GoToTheOthersThatTheReceiverWasToPassThemOnTo) {
+  relaying_keeper relay;
+  relay.ReadState();
+  relay.keeper.OnUndelivered("10.0.0.2", relay.update);
+  EXPECT_TRUE(relay.environment.receivers.empty());  // too long, for example
+  relay.environment.unreachable = {"10.0.0.2"};
+  relay.keeper.OnUndelivered("10.0.0.2", relay.update);
+  EXPECT_EQ(relay.environment.receivers,
+            (std::vector<host_address>{"10.0.0.3", "10.0.0.4"}));
+  relay.update.cover_to = 0;  // an update for the receiver alone
+  relay.update.cover_from = 1;
+  relay.keeper.OnUndelivered("10.0.0.2", relay.update);
+  EXPECT_EQ(relay.environment.receivers.size(), 2U);
+}
+
+// Guards against updates that are lost for all daemons behind one that has just
+// started: it does not know its peers yet.
+TEST(UpdatesAtTheStart, ArePassedOnOnceThePeersAreKnown) {
+  relaying_keeper relay;
+  relay.keeper.OnUpdate(relay.update);
+  EXPECT_TRUE(relay.environment.receivers.empty());
+  relay.clock.now += milliseconds(300);
+  relay.ReadState();
+  ASSERT_EQ(relay.environment.receivers,
+            (std::vector<host_address>{"10.0.0.2", "10.0.0.3", "10.0.0.4"}));
+  EXPECT_EQ(relay.environment.sent[0].age_ms, 400U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Fleets, missed_updates, ::testing::Values(40, 120));
 
 }  // namespace
--- a/tests/view_keeper_fixtures.h
+++ b/tests/view_keeper_fixtures.h
@@ -5,6 +5,8 @@
 
 #include "tests/view_world.h"
 
+#include <algorithm>
+#include <set>
 #include <vector>
 
 namespace parsleyyard::testing {
@@ -28,13 +30,21 @@
   void ReadAll() override { ++full_reads; }
   void ReadState() override {}
   void Watch(std::uint64_t, duration) override { ++watches; }
-  void SendUpdate(const host_address&, const view_update& m) override {
+  void SendUpdate(const host_address& to, const view_update& m) override {
     sent.push_back(m);
+    if (m.to_revision != 0) {
+      receivers.insert(std::upper_bound(receivers.begin(), receivers.end(), to),
+                       to);
+    }
+  }
+  bool IsReachable(const host_address& peer) const override {
+    return !unreachable.contains(peer);
   }
-  bool IsReachable(const host_address&) const override { return true; }
   void OnSnapshot(std::shared_ptr<const snapshot>) override {}
   void OnEvent(const view_event&) override {}
   std::vector<view_update> sent;
+  std::vector<host_address> receivers;  // of updates, sorted
+  std::set<host_address> unreachable;
   int full_reads = 0;
   int watches = 0;
 };
--- a/tests/view_world.cc
+++ b/tests/view_world.cc
@@ -236,6 +236,11 @@
     }
     if (!world.nodes_[target]->alive) {
       failed_at[target] = world.clock_.now;
+      if (world.unreachable_period_ > duration::zero()) {
+        world.Deliver(index, kPeerDelay, [to, message](node& n) {
+          n.keeper->OnUndelivered(to, message);
+        });
+      }
       return;
     }
     world.Deliver(
