--- a/daemon/caller_gate.h
+++ b/daemon/caller_gate.h
@@ -53,7 +53,7 @@
   void RefuseBeyond(instant end) { last_deadline_ = end; }
   std::size_t in_flight() const;
   // Number of calls that ended with an unknown outcome because of the stop.
-  std::size_t cut_off() const { return cut_off_; }
+  std::size_t CutOffCalls() const { return cut_off_; }
   // Logs each call that has no result yet, with its steps. Call this when the
   // daemon ends: nobody gets their results.
   void LogUnfinishedCalls();
--- a/daemon/drain.cc
+++ b/daemon/drain.cc
@@ -114,7 +114,7 @@
     const std::lock_guard lock(target_mutex_);
     load = target_.Load();
   }
-  const std::size_t callers_calls = gate_.in_flight() + gate_.cut_off();
+  const std::size_t callers_calls = gate_.in_flight() + gate_.CutOffCalls();
   const bool cuts_off =
       callers_calls > 0 || load.running > 0 || load.waiting > 0;
   log_.Write(log_kind::kProcess,
