Check with random histories that not run is true at planned stops

CallsProperty.NotRunIsTrueAtStopsToo: the sender, the target or both stop, one after the other, with lost links and restarts, while calls wait in the queue, for a connection, or run.

--- a/tests/calls_property_test.cc
+++ b/tests/calls_property_test.cc
@@ -7,6 +7,8 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
+
 namespace parsleyyard::testing {
 namespace {
 
@@ -55,6 +57,29 @@
                    {.request_id = std::to_string(calls_)});
   }
 
+  // From now on the requests of started calls wait for a connection.
+  void HoldWrites() { hold_writes_ = true; }
+  // Writes the oldest request that waits, if the target still allows it.
+  void WriteOldest() {
+    if (unwritten_.empty()) {
+      return;
+    }
+    const auto [id, request] = unwritten_.front();
+    unwritten_.erase(unwritten_.begin());
+    if (target_->OnUpstreamWrite(id)) {
+      ++runs_[request];
+      running_.push_back(id);
+    } else {
+      target_->OnUpstreamDone(id, {});
+    }
+  }
+  // Either daemon begins to stop, or has less or more time than before.
+  void StopSender(duration left) { sender_->EndBy(clock_.now + left); }
+  void StopTarget(duration left) {
+    target_->BeginDrain();
+    target_->EndBy(clock_.now + left);
+  }
+
   // Delivers the oldest message in one direction.
   void Deliver(bool towards_target) {
     auto& queue = towards_target ? to_target_ : to_sender_;
@@ -96,6 +121,7 @@
     for (int i = 0; i < 200; ++i) {
       Deliver(true);
       Deliver(false);
+      WriteOldest();
       CompleteOldest(false);
       AdvanceTime(milliseconds(20));
       RestoreLink();
@@ -152,10 +178,23 @@
   void Run(const call_id& id,
            std::shared_ptr<const call_request> message,
            duration /*time_left*/) override {
+    if (hold_writes_) {
+      unwritten_.emplace_back(id, message->request_id);
+      return;
+    }
     ++runs_[message->request_id];
     running_.push_back(id);
   }
-  void Cancel(const call_id& /*id*/) override {}
+  // Ends an attempt whose request is not written yet.
+  void Cancel(const call_id& id) override {
+    const auto found =
+        std::find_if(unwritten_.begin(), unwritten_.end(),
+                     [&](const auto& each) { return each.first == id; });
+    if (found != unwritten_.end()) {
+      unwritten_.erase(found);
+      target_->OnUpstreamDone(id, {});
+    }
+  }
   void Probe() override {}
   void SendAnswer(const host_address& /*to*/,
                   std::shared_ptr<const call_answer> message) override {
@@ -179,6 +218,9 @@
   bool link_requested_ = false;
   std::vector<std::function<void()>> to_target_;
   std::vector<std::function<void()>> to_sender_;
+  bool hold_writes_ = false;
+  // Started attempts whose requests wait, with the ids of the requests.
+  std::vector<std::pair<call_id, std::string>> unwritten_;
   std::vector<call_id> running_;
   std::map<std::string, int> runs_;
   std::map<std::uint64_t, call_outcome> results_;
@@ -229,6 +271,41 @@
   }));
 }
 
+// As ApplyStep(), with stops of both daemons, one beside the other or in
+// series.
+void ApplyStepOfAStop(sender_target_pair& pair, int step) {
+  const duration left = milliseconds(step / 12 % 1500);
+  switch (step % 12) {
+    case 9:
+      return pair.StopSender(left);
+    case 10:
+      return pair.StopTarget(left);
+    case 11:
+      return pair.WriteOldest();
+    default:
+      return ApplyStep(pair, step % 12 + step / 12 * 9);
+  }
+}
+
+// Guards against "not run" for calls that may run, and against calls without a
+// result, at planned stops.
+TEST(CallsProperty, NotRunIsTrueAtStopsToo) {
+  EXPECT_TRUE(rc::check("not run is true at stops", [] {
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1 << 20));
+    sender_target_pair pair(true);
+    pair.HoldWrites();
+    for (const int step : steps) {
+      ApplyStepOfAStop(pair, step);
+    }
+    pair.Finish();
+    const std::string violation = pair.FindViolation();
+    if (!violation.empty()) {
+      RC_FAIL(violation);
+    }
+  }));
+}
+
 // Shows that the property above can be violated: without attach and fence, a
 // lost link leads to a second run.
 TEST(CallsProperty, ResendWithoutAttachViolatesAtMostOnce) {
