--- a/calls/call_sender.cc
+++ b/calls/call_sender.cc
@@ -180,6 +180,8 @@
   }
 }
 
+// Makes the end of the daemon the deadline of a call that has a later one, and
+// sets the time from which it could not run before that end.
 void sender_internals::LimitToEnd(pending_call& call) {
   if (call.deadline <= end_at_) {
     return;
--- a/calls/target_runs.cc
+++ b/calls/target_runs.cc
@@ -103,6 +103,8 @@
   }
 }
 
+// Ends the calls that were started and still wait for a connection. Each ends
+// in OnUpstreamDone(), as not run.
 void target_internals::WithholdUnwrittenCalls() {
   for (const call_id& id : table_.FindUnwritten()) {
     table_.Find(id)->withheld_for = refusal_reason::kLeaving;
@@ -247,7 +249,8 @@
 }
 
 // Refuses a waiting call, and one whose request is not written yet. Aborts any
-// other call only if it is idempotent: a never-repeat call runs to its end.
+// other call only if it is idempotent, and unless the message says that a
+// written one goes on: a never-repeat call runs to its end.
 void target_internals::OnCancel(const call_cancel& message) {
   table_entry* call = table_.Find(message.id);
   if (call == nullptr) {
--- a/control/view_repair.cc
+++ b/control/view_repair.cc
@@ -146,7 +146,8 @@
   RequestMissedUpdates(now);
 }
 
-// Time for which this daemon leaves the store alone after a missed update.
+// Time after a missed update for which this daemon leaves the store alone and
+// waits for its peers.
 duration view_keeper::HelpTime() const {
   if (place_.rank_in_region == 0) {
     return kReaderHelpTime;
