Ask peers only if no update arrives, not if updates are old

Behind a slow link between regions updates arrive more than 1 s old. Each such update counted as silence and also lifted the interval between requests, so that all daemons of the region asked a peer, always the same, at each update. Silence is now the time since the last update or read, and the interval always holds.

--- a/control/control.h
+++ b/control/control.h
@@ -428,8 +428,9 @@
   bool state_read_ = false;      // the first read is complete
   // Updates were missed: they are requested from peers, or read.
   bool needs_catch_up_ = false;
-  bool needs_whole_view_ = false;  // what peers sent can't be unpacked
-  instant next_request_{};         // earliest time of the next such request
+  bool needs_whole_view_ = false;   // what peers sent can't be unpacked
+  instant next_request_{};          // earliest time of the next such request
+  instant last_news_arrived_at_{};  // the last update or read that was applied
   unsigned requests_without_news_ = 0;  // in a row
   bool shares_next_read_ = false;       // send the result to the region
   update_log update_log_;               // for peers that missed updates
--- a/control/view_keeper.cc
+++ b/control/view_keeper.cc
@@ -290,7 +290,7 @@
   failed_since_confirmed_ &= TimeSinceNews(clock_.Now()) >= kStoreOutageAge;
   next_takeover_ = instant();
   requests_without_news_ = 0;
-  next_request_ = instant();
+  last_news_arrived_at_ = clock_.Now();
 }
 
 // A full read does not list removals: a cached item that it lacks was removed.
--- a/control/view_repair.cc
+++ b/control/view_repair.cc
@@ -20,8 +20,8 @@
 
 // Between two requests for missed updates, each to another peer.
 constexpr duration kRequestInterval = std::chrono::milliseconds(200);
-// Beyond `stale_after`, age of the view from which a daemon that hears nothing
-// asks its peers.
+// Beyond `stale_after`, time without any update after which a daemon asks its
+// peers.
 constexpr duration kSilenceMargin = std::chrono::milliseconds(100);
 // If the store is unavailable, no peer has news. After this many requests in a
 // row without news, a silent daemon asks at the longer interval only.
@@ -168,8 +168,10 @@
 // Requests what is missing from the next peer: after a gap, or if no update has
 // arrived for too long.
 void view_keeper::RequestMissedUpdates(instant now) {
+  // News that is old on arrival is no silence: the link to it is slow, and
+  // peers have nothing newer.
   const bool is_silent =
-      TimeSinceNews(now) >= options_.stale_after + kSilenceMargin;
+      now - last_news_arrived_at_ >= options_.stale_after + kSilenceMargin;
   const bool misses_news = needs_catch_up_ || is_silent;
   if (!HasView() || active_reader_ || needs_full_read_ || !misses_news ||
       now < next_request_ || !AsksPeers()) {
