Decode workspaces; keep weights of 0 and fractional weights in splits

A service with weight 0 could have the highest random initial credit and got requests of the route. Weights such as 0.75 and 0.25 were rounded down to 0, so that the configuration was refused and never in force.

The model knows workspaces with keys, quotas, priorities and home regions; two workspaces with a common key make a configuration invalid.

--- a/calls/plan.cc
+++ b/calls/plan.cc
@@ -48,10 +48,14 @@
       credit = static_cast<std::int64_t>(random_.UniformBelow(sum));
     }
   }
-  std::size_t best = 0;
+  // A service with the weight 0 gets no request, whatever credit it has.
+  std::size_t best = from.targets.size();
   for (std::size_t i = 0; i < from.targets.size(); ++i) {
+    if (from.targets[i].weight == 0) {
+      continue;
+    }
     state.credit[i] += from.targets[i].weight;
-    if (state.credit[i] > state.credit[best]) {
+    if (best == from.targets.size() || state.credit[i] > state.credit[best]) {
       best = i;
     }
   }
--- a/model/model.cc
+++ b/model/model.cc
@@ -21,6 +21,13 @@
   return std::string(host) + " " + std::string(prefix);
 }
 
+// Returns true if the text can be the whole value of a header field.
+bool IsHeaderValue(const std::string& text) {
+  return !text.empty() && std::none_of(text.begin(), text.end(), [](char c) {
+    return std::iscntrl(static_cast<unsigned char>(c)) != 0;
+  });
+}
+
 leaf::result<void> CheckRoute(const route& checked) {
   const std::string path = "route " + checked.name;
   const bool valid_prefix =
@@ -41,6 +48,31 @@
 
 }  // namespace
 
+// Builds the lookup tables of the workspaces.
+leaf::result<void> configuration::IndexWorkspaces() {
+  for (const workspace& added : parts_.workspaces) {
+    const std::string path = "workspace " + added.name;
+    if (!IsHeaderValue(added.name)) {
+      return leaf::new_error(model_error{
+          path, "the name must not be empty or have control characters"});
+    }
+    if (!workspaces_by_name_.emplace(added.name, &added).second) {
+      return leaf::new_error(model_error{path, "is configured twice"});
+    }
+    for (const std::string& key : added.keys) {
+      if (key.empty()) {
+        return leaf::new_error(model_error{path, "has an empty key"});
+      }
+      const auto [known, inserted] = workspaces_by_key_.emplace(key, &added);
+      if (!inserted && known->second != &added) {
+        return leaf::new_error(model_error{
+            path, "shares a key with workspace " + known->second->name});
+      }
+    }
+  }
+  return {};
+}
+
 leaf::result<std::shared_ptr<const configuration>> configuration::Create(
     parts from) {
   auto created = std::make_shared<configuration>();
@@ -61,6 +93,7 @@
     created->routes_by_key_[RouteKey(added.virtual_host, added.prefix)] =
         &added;
   }
+  BOOST_LEAF_CHECK(created->IndexWorkspaces());
   return std::shared_ptr<const configuration>(std::move(created));
 }
 
@@ -83,6 +116,17 @@
   return found == services_by_name_.end() ? nullptr : found->second;
 }
 
+const workspace* configuration::FindWorkspaceByKey(
+    const std::string& key) const {
+  const auto found = workspaces_by_key_.find(key);
+  return found == workspaces_by_key_.end() ? nullptr : found->second;
+}
+
+const workspace* configuration::FindWorkspace(std::string_view name) const {
+  const auto found = workspaces_by_name_.find(name);
+  return found == workspaces_by_name_.end() ? nullptr : found->second;
+}
+
 const known_instance* snapshot::FindAt(const host_address& host,
                                        std::uint16_t port) const {
   const known_instance* newest = nullptr;
--- a/model/model.h
+++ b/model/model.h
@@ -3,7 +3,7 @@
 //
 // Index
 //   1. Basics          time, randomness, host addresses
-//   2. Configuration   routes, services, limits on callers
+//   2. Configuration   routes, services, workspaces, limits on callers
 //   3. Instances       registered instances and their state
 //   4. Snapshot        one immutable version of a daemon's view
 //   5. Topology        failure domains and their regions
@@ -24,6 +24,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -100,6 +101,18 @@
   std::uint32_t priority = 0;             // 0: most urgent
   std::uint32_t max_attempts = 1;  // instances that one request may reach
   std::vector<std::string> home_regions;  // allowed regions; empty: all
+  // A request needs the key of a workspace, if the configuration has any.
+  bool needs_key = true;
+};
+
+// A customer whose requests bear one of its keys.
+struct workspace {
+  std::string name;
+  std::vector<std::string> keys;          // secret; never logged or passed on
+  std::optional<std::uint32_t> priority;  // replaces the route's; empty: none
+  double rate = 0;   // requests a second over all daemons; 0: no limit
+  double burst = 0;  // requests beyond the rate
+  std::vector<std::string> home_regions;  // allowed regions; empty: all
 };
 
 // A service, and the limits that hold for each of its instances.
@@ -128,12 +141,15 @@
     std::uint64_t version = 0;
     std::vector<route> routes;
     std::vector<service> services;
+    std::vector<workspace> workspaces;
     caller_limits limits;
   };
 
   // Validates the parts and builds the lookup tables. Fails with a model_error
   // if a prefix does not begin and end with '/', a route has no service with a
-  // weight above 0, or a route names a service that is not configured.
+  // weight above 0, a route names a service that is not configured, a workspace
+  // has no proper name or an empty key, or two workspaces share a name or a
+  // key. No error contains a key.
   static leaf::result<std::shared_ptr<const configuration>> Create(parts from);
 
   std::uint64_t version() const { return parts_.version; }
@@ -145,12 +161,22 @@
   const route* FindRoute(std::string_view host, std::string_view path) const;
   // Returns null if the service is not configured.
   const service* FindService(std::string_view name) const;
+  // If false, no request needs a key.
+  bool has_workspaces() const { return !parts_.workspaces.empty(); }
+  const std::vector<workspace>& workspaces() const { return parts_.workspaces; }
+  // Return null if no workspace has that key, or that name.
+  const workspace* FindWorkspaceByKey(const std::string& key) const;
+  const workspace* FindWorkspace(std::string_view name) const;
 
  private:
   parts parts_;
   std::unordered_map<std::string, const route*>
       routes_by_key_;  // by RouteKey()
   std::map<std::string, const service*, std::less<>> services_by_name_;
+  std::unordered_map<std::string, const workspace*> workspaces_by_key_;
+  std::map<std::string, const workspace*, std::less<>> workspaces_by_name_;
+
+  leaf::result<void> IndexWorkspaces();
 };
 
 // ---------------------------------------------------------------------------
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -100,5 +100,21 @@
   EXPECT_NEAR(picked["t"], 30, 1);
 }
 
+// Guards against requests to a service that the split takes none for. Its
+// random initial credit must not count either.
+TEST(Plan, ServiceWithWeightZeroGetsNoRequests) {
+  const route split{.name = "r",
+                    .targets = {{.service = "none", .weight = 0},
+                                {.service = "a", .weight = 3},
+                                {.service = "b", .weight = 1}}};
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    seeded_random random(seed);
+    route_splitter splitter(random);
+    for (int i = 0; i < 20; ++i) {
+      ASSERT_NE(splitter.PickService(split), "none") << seed;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace parsleyyard::testing
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -66,6 +66,80 @@
   EXPECT_EQ(config->limits().max_body_bytes, 2000u);
 }
 
+// Guards against a configuration that is never in force because its weights
+// are fractions.
+TEST(PlatformDecoder, KeepsProportionsOfFractionalWeights) {
+  const auto targets = [](const std::string& weights) {
+    const auto item =
+        decoder()
+            .Decode(
+                "op/config",
+                Replaced(
+                    kConfig,
+                    R"({"service":"a","weight":90},{"service":"b","weight":10})",
+                    weights))
+            .value();
+    return std::get<std::shared_ptr<const configuration>>(item)
+        ->routes()[0]
+        .targets;
+  };
+  const auto fractions = targets(
+      R"({"service":"a","weight":0.75},{"service":"b","weight":0.25},{"service":"a","weight":0})");
+  EXPECT_EQ(fractions[0].weight, 3 * fractions[1].weight);
+  EXPECT_EQ(fractions[2].weight, 0u);
+  const auto tiny = targets(
+      R"({"service":"a","weight":1e-9},{"service":"b","weight":1e300})");
+  EXPECT_GT(tiny[0].weight, 0u);
+  EXPECT_GT(tiny[1].weight, 900'000u);
+  EXPECT_EQ(
+      targets(R"({"service":"a","weight":90},{"service":"b","weight":10})")[0]
+          .weight,
+      90u);
+}
+
+const std::string kWorkspaces =
+    R"({"resource-type":"tenants","metadata":{"name":"w1"},"spec":{"api-keys":["k1","k2"],"priority":1,)"
+    R"("rate-per-s":332,"burst":40,"allowed-regions":["montevideo"]}},)"
+    R"({"resource-type":"tenants","metadata":{"name":"w2"},"spec":{"api-keys":["k3"]}},)"
+    R"({"resource-type":"limits")";
+
+TEST(PlatformDecoder, DecodesWorkspaces) {
+  const auto item =
+      decoder()
+          .Decode("op/config", Replaced(kConfig, R"({"resource-type":"limits")",
+                                        kWorkspaces))
+          .value();
+  const auto& config = std::get<std::shared_ptr<const configuration>>(item);
+  ASSERT_TRUE(config->has_workspaces());
+  const workspace* first = config->FindWorkspaceByKey("k2");
+  ASSERT_NE(first, nullptr);
+  EXPECT_EQ(first, config->FindWorkspace("w1"));
+  EXPECT_EQ(first->priority, 1u);
+  EXPECT_EQ(first->rate, 332);
+  EXPECT_EQ(first->burst, 40);
+  EXPECT_EQ(first->home_regions, std::vector<std::string>{"montevideo"});
+  EXPECT_EQ(config->FindWorkspaceByKey("k3")->priority, std::nullopt);
+  EXPECT_EQ(config->FindWorkspaceByKey("K1"), nullptr);
+  EXPECT_EQ(config->FindWorkspaceByKey(""), nullptr);
+  EXPECT_TRUE(config->routes()[0].needs_key);
+}
+
+// Guards against requests that run for the wrong workspace, and against keys
+// in logs.
+TEST(PlatformDecoder, RefusesAmbiguousKeysWithoutNamingThem) {
+  const auto outcome = [](const std::string& from, const std::string& to) {
+    return DecodeOutcome("op/config",
+                         Replaced(kConfig, R"({"resource-type":"limits")",
+                                  Replaced(kWorkspaces, from, to)));
+  };
+  EXPECT_EQ(outcome("k3", "k1"),
+            "workspace w2: shares a key with workspace w1");
+  EXPECT_EQ(outcome("k3", ""), "workspace w2: has an empty key");
+  EXPECT_EQ(outcome("\"w2\"", "\"w1\""), "workspace w1: is configured twice");
+  EXPECT_EQ(outcome("\"w2\"", "\"w\\n2\"").substr(0, 9), "workspace");
+  EXPECT_EQ(outcome("k2", "k1"), "configuration");
+}
+
 TEST(PlatformDecoder, ErrorsNameDocumentAndField) {
   const auto config = [](const std::string& from, const std::string& to) {
     return DecodeOutcome("op/config", Replaced(kConfig, from, to));
