Don't take an answer of another daemon without a final status as a response

The entry daemon passed on whatever status a call_answer held. An answer outside 200 to 599 now ends the attempt as unknown, as an invalid response of an instance does.

--- a/calls/call_sender.cc
+++ b/calls/call_sender.cc
@@ -15,6 +15,11 @@
   return status == 500 || status == 502 || status == 503;
 }
 
+// Returns true for the status of a final HTTP response.
+bool IsFinalStatus(std::uint16_t status) {
+  return status >= 200 && status < 600;
+}
+
 }  // namespace
 
 void sender_internals::Begin(std::uint64_t handle,
@@ -296,6 +301,9 @@
   if (message.outcome == call_outcome::kUnknown) {
     return OnUnknownOutcome(call, message.reason);
   }
+  if (!IsFinalStatus(message.status)) {
+    return OnUnknownOutcome(call, refusal_reason::kBadAnswer);
+  }
   call_result result{.outcome = call_outcome::kAnswer,
                      .status = message.status,
                      .headers = std::move(message.headers),
--- a/tests/sender_test.cc
+++ b/tests/sender_test.cc
@@ -105,6 +105,18 @@
 // Guards against 504 responses before the deadline. Under heavy load after a
 // SIGTERM, a slow attempt was cancelled although no other instance was
 // available.
+// Guards against an answer of another daemon whose status is none, which would
+// reach the caller as a response.
+TEST_F(sender_fixture, AnswerWithoutFinalStatusIsNoResponse) {
+  std::uint64_t call = 0;
+  for (const std::uint16_t status : {0, 100, 199, 600, 65535}) {
+    Begin(++call, true);
+    Answer({.outcome = call_outcome::kAnswer, .status = status});
+    EXPECT_EQ(results_[call].outcome, call_outcome::kUnknown) << status;
+    EXPECT_EQ(results_[call].reason, refusal_reason::kBadAnswer) << status;
+  }
+}
+
 TEST_F(sender_fixture, KeepsSlowAttemptWithoutAnotherInstance) {
   SetView({Instance("near", "10.0.0.1", "north-a")});
   FillRetryBudget(100);
