parsleyyard check: warn of entries without effect and of contradictions; print what differs

`check` said only whether daemons would take a configuration. The differences of `diff` come from the same code and cover services, workspaces and limits too.

--- a/model/model.h
+++ b/model/model.h
@@ -155,6 +155,7 @@
   std::uint64_t version() const { return parts_.version; }
   const caller_limits& limits() const { return parts_.limits; }
   const std::vector<route>& routes() const { return parts_.routes; }
+  const std::vector<service>& services() const { return parts_.services; }
   // Returns the route of `host` whose prefix is the longest that matches
   // `path`, or null if no route matches. `path` has no query; the case of
   // `host` and a port in it are ignored.
--- a/tools/parsleyyard.cc
+++ b/tools/parsleyyard.cc
@@ -3,6 +3,7 @@
 #include "daemon/settings.h"
 #include "net/net.h"
 #include "platform/platform.h"
+#include "tools/config_check.h"
 #include "tools/request_trace.h"
 
 #include <boost/json.hpp>
@@ -28,15 +29,15 @@
 namespace json = boost::json;
 
 constexpr int kExitOk = 0;
-// wait-version: the version was not in force everywhere in time; explain: no
-// line names the request.
+// check --strict: there are warnings; wait-version: the version was not in
+// force everywhere in time; explain: no line names the request.
 constexpr int kExitConditionNotMet = 1;
 constexpr int kExitUsage = 2;
 constexpr int kExitUnreachable = 3;
 constexpr duration kFetchTimeout = seconds(2);
 constexpr std::string_view kUsage =
     "parsleyyard: checks configurations and inspects a fleet of parsleyyardd\n"
-    "  parsleyyard check config.json\n"
+    "  parsleyyard check config.json [--against in-force.json] [--strict]\n"
     "  parsleyyard diff old.json new.json\n"
     "  parsleyyard status 127.1.1.1 127.1.2.1\n"
     "  parsleyyard explain ID daemon-a.log daemon-b.log   (- reads a pipe)\n"
@@ -73,60 +74,70 @@
       [] { return kExitUsage; });
 }
 
-int CheckConfigurations(const std::vector<std::string>& files) {
+std::string Joined(const std::vector<std::string>& parts) {
+  std::string joined;
+  for (const std::string& part : parts) {
+    joined += (joined.empty() ? "" : ", ") + part;
+  }
+  return joined;
+}
+
+void PrintChanges(const configuration& before, const configuration& after) {
+  for (const config_change& change : CompareConfigurations(before, after)) {
+    std::cout << kChangeSigns[static_cast<std::size_t>(change.kind)] << " "
+              << change.entry;
+    if (!change.fields.empty()) {
+      std::cout << ": " << Joined(change.fields);
+    }
+    std::cout << "\n";
+  }
+}
+
+struct check_options {
+  std::string against;  // file with the version in force; empty: none
+  bool strict = false;  // findings set the exit status
+};
+
+// Checks each configuration as a daemon does, and prints what can have no
+// effect in it and what differs from the version in force.
+int CheckConfigurations(const std::vector<std::string>& files,
+                        const check_options& options) {
   return RunAndReportErrors([&]() -> leaf::result<int> {
+    bool found_any = false;
     for (const std::string& file : files) {
       BOOST_LEAF_AUTO(loaded, LoadConfiguration(file));
       std::cout << file << ": valid, version " << loaded->version() << ", "
-                << loaded->routes().size() << " routes\n";
+                << loaded->routes().size() << " routes, "
+                << loaded->workspaces().size() << " workspaces\n";
+      for (const config_finding& finding : CheckConfiguration(*loaded)) {
+        found_any = true;
+        std::cout << "warning: " << NameOf(finding.kind) << ": "
+                  << finding.entry << ": " << finding.message << "\n";
+      }
+      if (options.against.empty()) {
+        continue;
+      }
+      BOOST_LEAF_AUTO(in_force, LoadConfiguration(options.against));
+      if (loaded->version() <= in_force->version()) {
+        found_any = true;
+        std::cout << "warning: version " << loaded->version()
+                  << " is not above version " << in_force->version()
+                  << " in force\n";
+      }
+      PrintChanges(*in_force, *loaded);
     }
-    return kExitOk;
+    return options.strict && found_any ? kExitConditionNotMet : kExitOk;
   });
 }
 
-bool SameRoute(const route& a, const route& b) {
-  const auto same_target = [](const weighted_service& x,
-                              const weighted_service& y) {
-    return x.service == y.service && x.weight == y.weight;
-  };
-  return a.virtual_host == b.virtual_host && a.prefix == b.prefix &&
-         a.idempotent == b.idempotent && a.timeout == b.timeout &&
-         a.objective == b.objective && a.priority == b.priority &&
-         a.max_attempts == b.max_attempts && a.home_regions == b.home_regions &&
-         std::equal(a.targets.begin(), a.targets.end(), b.targets.begin(),
-                    b.targets.end(), same_target);
-}
-
-std::map<std::string, const route*> RoutesByName(const configuration& from) {
-  std::map<std::string, const route*> routes;
-  for (const route& each : from.routes()) {
-    routes[each.name] = &each;
-  }
-  return routes;
-}
-
-// Prints the routes that are added, changed and removed, and the size of the
+// Prints the entries that are added, changed and removed, and the size of the
 // update from the old document to the new one as a packed delta.
 int DiffConfigurations(const std::string& before_file,
                        const std::string& after_file) {
   return RunAndReportErrors([&]() -> leaf::result<int> {
     BOOST_LEAF_AUTO(before, LoadConfiguration(before_file));
     BOOST_LEAF_AUTO(after, LoadConfiguration(after_file));
-    const auto old_routes = RoutesByName(*before);
-    const auto new_routes = RoutesByName(*after);
-    for (const auto& [name, added] : new_routes) {
-      const auto old = old_routes.find(name);
-      if (old == old_routes.end()) {
-        std::cout << "+ " << name << ": new\n";
-      } else if (!SameRoute(*old->second, *added)) {
-        std::cout << "~ " << name << ": changed\n";
-      }
-    }
-    for (const auto& [name, removed] : old_routes) {
-      if (!new_routes.contains(name)) {
-        std::cout << "- " << name << ": gone\n";
-      }
-    }
+    PrintChanges(*before, *after);
     const std::string base = ReadFile(before_file);
     std::cout << Pack(ReadFile(after_file), &base).size()
               << " bytes as a delta\n";
@@ -285,7 +296,9 @@
   page_fetcher fetcher(args.flags["port"].as<std::uint16_t>());
   const auto& operands = args.operands;
   if (args.command == "check" && !operands.empty()) {
-    return CheckConfigurations(operands);
+    return CheckConfigurations(
+        operands, {.against = args.flags["against"].as<std::string>(),
+                   .strict = args.flags.contains("strict")});
   }
   if (args.command == "diff" && operands.size() == 2) {
     return DiffConfigurations(operands[0], operands[1]);
@@ -316,6 +329,9 @@
                         "explain a request by its id")(
       "route", po::value<std::string>(), "explain the route of HOST/PATH")(
       "domain", po::value<std::string>(), "explain a failure domain")(
+      "against", po::value<std::string>()->default_value(""),
+      "check: the version in force, to print what differs")(
+      "strict", "check: exit with 1 if there are warnings")(
       "timeout", po::value<double>()->default_value(5),
       "wait-version: longest wait in seconds")(
       "port", po::value<std::uint16_t>()->default_value(8082),
