Follow the speed that an instance states

Callers saw calls admitted beside a slow instance that could no longer end within their objective: the service time was an average over 20 calls, while work takes 2.5 times as long for phases of 600 ms.

The dialect reads Instance-Load. Its fourth figure, within 20 to 1000 percent, scales the service times, which are kept at usual speed, for 600 ms. Admission, the order of the queue and load reports follow. A figure that the service times contradict is not used. Without the figure nothing is scaled.

--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -21,13 +21,14 @@
 }  // namespace
 
 load_report target_internals::Load(const std::string& route) const {
+  const instant now = clock_.Now();
   return {
       .running = running_,
       .waiting = static_cast<std::uint32_t>(queue_.size()),
       .limit = own_instance_.Slots(),
-      .service_us = static_cast<std::uint32_t>(watch_.service_time().count()),
+      .service_us = static_cast<std::uint32_t>(watch_.ServiceTime(now).count()),
       .route_us = static_cast<std::uint32_t>(
-          route.empty() ? 0 : watch_.ServiceTimeOf(route).count()),
+          route.empty() ? 0 : watch_.ServiceTimeOf(route, now).count()),
       .rejected_percent = watch_.down() ? 100 : watch_.rejected_percent(),
       .leaving = draining_};
 }
@@ -93,7 +94,7 @@
 instance_capacity target_internals::Capacity(instant now) const {
   return {.running = running_,
           .limit = own_instance_.Slots(),
-          .service_time = watch_.service_time(),
+          .service_time = watch_.ServiceTime(now),
           .max_start_rate = cold_limiter_.MaxRate(now)};
 }
 
@@ -114,7 +115,7 @@
 waiting_call target_internals::ToWaitingCall(const call_request& message,
                                              const table_entry& entry,
                                              instant now) const {
-  const duration service_time = watch_.ServiceTimeOf(message.route);
+  const duration service_time = watch_.ServiceTimeOf(message.route, now);
   const bool past_objective = entry.objective < now + service_time;
   return {.id = message.id,
           .priority = message.priority,
@@ -216,6 +217,7 @@
     upstream_.Probe();
   }
   table_.Expire(now);
+  FollowSpeed(now);
   RefuseHopelessCalls(now);
   RefuseCallsThatOutlastDaemon(now);
   StartWaitingCalls();
--- a/calls/calls.h
+++ b/calls/calls.h
@@ -266,6 +266,7 @@
   std::uint16_t status = 0;
   std::vector<call_header> headers;
   std::string body;
+  std::optional<instance_load> load;  // empty: not stated or malformed
 };
 
 // Result of a health check of the instance.
@@ -275,6 +276,7 @@
   std::string instance;  // id of the instance; empty: not stated
   // Rest of the warm-up; zero: warm; empty: not stated.
   std::optional<duration> cold_left;
+  std::optional<instance_load> load;  // empty: not stated or malformed
 };
 
 // Runs calls at the instance. Each Run() leads to one OnUpstreamDone().
--- a/calls/instance_watch.h
+++ b/calls/instance_watch.h
@@ -1,10 +1,14 @@
 // Service time, failures and availability of the instance of this host, from
 // its responses and health checks. Internal to calls/.
+//
+// Service times are kept at the usual speed of the instance and scaled by its
+// present speed, if its responses state it (see instance_speed).
 
 #ifndef PARSLEYYARD_CALLS_INSTANCE_WATCH_H_
 #define PARSLEYYARD_CALLS_INSTANCE_WATCH_H_
 
 #include "calls/calls.h"
+#include "calls/instance_speed.h"
 
 #include <map>
 #include <string>
@@ -23,12 +27,16 @@
   // failing one changes nothing.
   void OnReport(const upstream_report& report, instant now);
 
-  // Moving average of the service time over all routes; zero before the first
-  // successful response.
-  duration service_time() const { return duration(duration::rep(mean_us_)); }
-  // Moving average for one route; the average over all routes, or a default, if
-  // the route has no successful response yet.
-  duration ServiceTimeOf(const std::string& route) const;
+  // Expected service time of a call that is started now, over all routes; zero
+  // before the first successful response.
+  duration ServiceTime(instant now) const;
+  // The same for one route; that over all routes, or a default, if the route
+  // has no successful response yet.
+  duration ServiceTimeOf(const std::string& route, instant now) const;
+  // Moving average of the service time of a route at usual speed; empty before
+  // enough responses to judge others by it.
+  std::optional<duration> UsualServiceTimeOf(const std::string& route) const;
+  const instance_speed& speed() const { return speed_; }
   // Recent attempts that the instance failed or rejected, in percent.
   std::uint32_t rejected_percent() const {
     return static_cast<std::uint32_t>(rejected_share_ * 100);
@@ -46,8 +54,19 @@
   bool ProbeDue(bool needed, instant now);
 
  private:
-  double mean_us_ = 0;
-  std::map<std::string, double> mean_us_by_route_;
+  // Service times at usual speed.
+  struct route_time {
+    double mean_us = 0;  // moving average
+    std::uint32_t calls = 0;
+  };
+
+  void RecordServiceTime(const std::string& route,
+                         duration run_time,
+                         instant now);
+
+  instance_speed speed_;
+  double mean_us_ = 0;  // moving average over all routes, at usual speed
+  std::map<std::string, route_time> times_by_route_;
   double rejected_share_ = 0;  // moving average, 0 to 1
   bool down_ = false;
   bool check_passed_ = false;  // a health check has passed since it went down
--- a/calls/target_internals.h
+++ b/calls/target_internals.h
@@ -69,6 +69,7 @@
   void StartWaitingCalls();
   void StartOrRefuse(const waiting_call& next, instant now);
   bool IsTooLate(const waiting_call& next, instant now) const;
+  void FollowSpeed(instant now);
   void RefuseHopelessCalls(instant now);
   void RefuseCallsThatOutlastDaemon(instant now);
   void WithholdUnwrittenCalls();
@@ -96,6 +97,7 @@
   instance_watch watch_;
   pause_guard pause_guard_;
   transit_clock transit_clock_;
+  double queued_factor_ = 1;  // speed by which the queue is ordered
   std::uint32_t running_ = 0;
   std::uint32_t probes_in_progress_ = 0;
   instant oldest_probe_at_{};  // begin of the probes in progress
--- a/calls/target_runs.cc
+++ b/calls/target_runs.cc
@@ -3,6 +3,7 @@
 #include "calls/attempt_answer.h"
 #include "calls/target_internals.h"
 
+#include <cmath>
 #include <utility>
 
 namespace parsleyyard {
@@ -15,6 +16,9 @@
 // A waiting call is refused in favour of others once the time left until it is
 // due is shorter than this share of its service time.
 constexpr double kMinServiceTimeShare = 0.7;
+// Relative change of the speed of the instance from which the waiting calls are
+// ordered anew. Smaller ones change the order of few calls.
+constexpr double kMinFactorChange = 0.1;
 // Time before the end of the daemon from which calls that still wait for a
 // connection to the instance are refused. It suffices for the answer.
 constexpr duration kWithholdTime = std::chrono::milliseconds(300);
@@ -61,7 +65,7 @@
   if (refusal != refusal_reason::kNone) {
     return refusal;
   }
-  if (now + watch_.ServiceTimeOf(call.message->route) > end_at_) {
+  if (now + watch_.ServiceTimeOf(call.message->route, now) > end_at_) {
     return refusal_reason::kLeaving;
   }
   return now + kMinRunTime >= call.deadline ? refusal_reason::kDeadlinePassed
@@ -197,6 +201,7 @@
   const bool withheld = call->withheld_for != refusal_reason::kNone;
   if (!withheld) {
     watch_.OnDone(result, call->message->route, now - call->started_at, now);
+    FollowSpeed(now);
   }
   call_answer answer = BuildAnswer(id, std::move(result), call->withheld_for);
   if (answer.outcome != call_outcome::kAnswer) {
@@ -209,9 +214,22 @@
   StartWaitingCalls();
 }
 
+// Orders the waiting calls by the present speed of the instance.
+void target_internals::FollowSpeed(instant now) {
+  const double factor = watch_.speed().Factor(now);
+  if (std::abs(factor - queued_factor_) < kMinFactorChange * queued_factor_) {
+    return;
+  }
+  queued_factor_ = factor;
+  queue_.UpdateServiceTimes([&](const waiting_call& call) {
+    return watch_.ServiceTimeOf(table_.Find(call.id)->message->route, now);
+  });
+}
+
 void target_internals::OnUpstreamReport(const upstream_report& report) {
   const instant now = clock_.Now();
   watch_.OnReport(report, now);
+  FollowSpeed(now);
   cold_limiter_.OnHealthCheck(report, oldest_probe_at_, now);
   probes_in_progress_ -= probes_in_progress_ > 0 ? 1 : 0;
   ReportColdLimit(now);
--- a/calls/wait_queue.cc
+++ b/calls/wait_queue.cc
@@ -105,6 +105,16 @@
   return calls_.extract(chosen).value();
 }
 
+void wait_queue::UpdateServiceTimes(
+    const std::function<duration(const waiting_call&)>& estimate) {
+  decltype(calls_) updated;
+  for (waiting_call call : calls_) {
+    call.service_time = estimate(call);
+    updated.insert(call);
+  }
+  calls_ = std::move(updated);
+}
+
 void wait_queue::Remove(const call_id& id) {
   std::erase_if(calls_,
                 [&](const waiting_call& call) { return call.id == id; });
--- a/calls/wait_queue.h
+++ b/calls/wait_queue.h
@@ -12,6 +12,7 @@
 
 #include "calls/calls.h"
 
+#include <functional>
 #include <optional>
 #include <set>
 
@@ -59,6 +60,10 @@
   std::vector<waiting_call> PopCallsThatOutlast(
       duration left,
       const instance_capacity& capacity);
+  // Sets the service time of each waiting call to what `estimate` returns for
+  // it, and orders the queue anew.
+  void UpdateServiceTimes(
+      const std::function<duration(const waiting_call&)>& estimate);
   // Returns a call that was removed to its former place.
   void PutBack(const waiting_call& call) { calls_.insert(call); }
   void Remove(const call_id& id);
--- a/daemon/upstream_runner.cc
+++ b/daemon/upstream_runner.cc
@@ -44,6 +44,9 @@
   result.complete =
       exchange.complete && info.authentic && FitsCallAnswer(result.headers);
   result.body = std::move(response.body);
+  if (exchange.complete && info.authentic) {
+    result.load = info.load;
+  }
   return result;
 }
 
@@ -117,7 +120,8 @@
                     on_health_report_({.reachable = true,
                                        .healthy = info.healthy,
                                        .instance = info.instance,
-                                       .cold_left = info.cold_left});
+                                       .cold_left = info.cold_left,
+                                       .load = info.load});
                   });
 }
 
--- a/model/model.h
+++ b/model/model.h
@@ -197,6 +197,16 @@
   std::uint64_t sequence = 0;    // number of the registration since the start
 };
 
+// Load of an instance as its responses state it.
+struct instance_load {
+  std::uint32_t running = 0;  // requests that the instance runs
+  std::uint32_t waiting = 0;  // requests that wait in the instance
+  std::uint32_t slots = 0;    // requests that it can run at once
+  // Time that work takes on the host at this moment, in percent of the usual.
+  // Empty: not stated, malformed or out of range.
+  std::optional<double> work_time_percent;
+};
+
 // ---------------------------------------------------------------------------
 // 4. Snapshot
 // ---------------------------------------------------------------------------
--- a/net/net.h
+++ b/net/net.h
@@ -373,6 +373,7 @@
   bool authentic = false;
   bool not_run = false;         // the instance did not run the request
   bool wrong_instance = false;  // another instance listens at the address
+  std::optional<instance_load> load;  // empty: not stated or malformed
 };
 
 // What the response to a health check states.
@@ -381,6 +382,7 @@
   std::string instance;  // id; empty: not stated
   // Remaining warm-up time; zero: warm; empty: not stated.
   std::optional<duration> cold_left;
+  std::optional<instance_load> load;  // empty: not stated or malformed
 };
 
 // The header names and formats that callers, instances and health checks use.
