Decide fleet-wide quotas of workspaces

Each workspace with a rate has an owner among the hosts of the view, by rendezvous hashing, that grants tokens out of a token bucket. Daemons take one token for each request, ask for more ahead of their demand, and have a small fallback while the owner does not grant. The decisions have no I/O and no clock; the messages quota_request and quota_grant are new (format version 6).

--- a/model/messages_generated.h
+++ b/model/messages_generated.h
@@ -59,21 +59,41 @@
                   // request for good
   kOverBound,     // the request is over a bound of this daemon that the
                   // configuration does not set
+  kOverQuota,     // the quota of the workspace is used up
+  kQuotaUnknown,  // the owner of the workspace's quota does not answer
 };
 
-inline constexpr std::array<std::string_view, 23> kRefusalReasonNames = {
+inline constexpr std::array<std::string_view, 25> kRefusalReasonNames = {
     "none",           "no_route",         "no_upstream",   "failure_domain_out",
     "leaving",        "overloaded",       "cold",          "deadline_passed",
     "starting",       "paused",           "fenced",        "wrong_incarnation",
     "wrong_instance", "upstream_refused", "upstream_lost", "bad_answer",
     "link_lost",      "timeout",          "cancelled",     "retries_spent",
-    "bad_request",    "stale_view",       "over_bound",
+    "bad_request",    "stale_view",       "over_bound",    "over_quota",
+    "quota_unknown",
 };
 
 constexpr std::string_view NameOf(refusal_reason value) {
   return kRefusalReasonNames[static_cast<std::size_t>(value)];
 }
 
+// How the owner of a quota answers a request for tokens.
+enum class quota_answer : std::uint8_t {
+  kGranted,   // as many tokens as stated, which may be fewer than wanted
+  kUsedUp,    // no token: the quota is used up
+  kNotOwner,  // the receiver may not grant tokens of this workspace, or not yet
+};
+
+inline constexpr std::array<std::string_view, 3> kQuotaAnswerNames = {
+    "granted",
+    "used_up",
+    "not_owner",
+};
+
+constexpr std::string_view NameOf(quota_answer value) {
+  return kQuotaAnswerNames[static_cast<std::size_t>(value)];
+}
+
 // First message in each direction of a stream between daemons.
 struct link_hello {
   std::string from;  // sender's host address
@@ -219,6 +239,25 @@
   bool operator==(const link_close&) const = default;
 };
 
+// Requests tokens of a workspace's quota from its owner.
+struct quota_request {
+  std::string workspace;     // name of the workspace
+  std::uint64_t number = 0;  // number of the request, unique at its sender
+  std::uint32_t wanted = 0;  // tokens wanted
+  bool operator==(const quota_request&) const = default;
+};
+
+// Answers a quota_request.
+struct quota_grant {
+  std::string workspace;                         // name of the workspace
+  std::uint64_t number = 0;                      // number of the request
+  quota_answer answer = quota_answer::kGranted;  // how the request is answered
+  std::uint32_t tokens = 0;                      // tokens granted
+  std::uint32_t retry_after_ms =
+      0;  // time until the next tokens are expected; 0: not known
+  bool operator==(const quota_grant&) const = default;
+};
+
 }  // namespace parsleyyard
 
 #endif  // PARSLEYYARD_MODEL_MESSAGES_GENERATED_H_
--- a/wire/codec_generated.h
+++ b/wire/codec_generated.h
@@ -12,7 +12,7 @@
 namespace parsleyyard {
 
 // Format version of all messages; a peer with a different version is refused.
-inline constexpr std::uint16_t kFormatVersion = 5;
+inline constexpr std::uint16_t kFormatVersion = 6;
 
 // Any message that daemons send to each other.
 using any_message = std::variant<link_hello,
@@ -22,7 +22,9 @@
                                  call_answer,
                                  call_attach,
                                  call_cancel,
-                                 link_close>;
+                                 link_close,
+                                 quota_request,
+                                 quota_grant>;
 
 template <class Archive>
 void serialize(Archive& archive, link_hello& value) {
@@ -107,7 +109,7 @@
 void serialize(Archive& archive, call_answer& value) {
   archive(value.id);
   archive(checked_enum{value.outcome, 3});
-  archive(checked_enum{value.reason, 23});
+  archive(checked_enum{value.reason, 25});
   archive(checked_bool{value.reached_instance});
   archive(value.status);
   archive(value.load);
@@ -130,6 +132,22 @@
 template <class Archive>
 void serialize(Archive& /*archive*/, link_close& /*value*/) {}
 
+template <class Archive>
+void serialize(Archive& archive, quota_request& value) {
+  archive(bounded_string{value.workspace, 200});
+  archive(value.number);
+  archive(value.wanted);
+}
+
+template <class Archive>
+void serialize(Archive& archive, quota_grant& value) {
+  archive(bounded_string{value.workspace, 200});
+  archive(value.number);
+  archive(checked_enum{value.answer, 3});
+  archive(value.tokens);
+  archive(value.retry_after_ms);
+}
+
 }  // namespace parsleyyard
 
 #endif  // PARSLEYYARD_WIRE_CODEC_GENERATED_H_
