--- a/calls/calls.h
+++ b/calls/calls.h
@@ -42,6 +42,7 @@
   std::uint32_t max_attempts = 1;  // instances that the request may reach
   duration deadline{};             // time left until the deadline
   duration objective{};            // time left until the latency objective
+  std::string workspace;           // name of the caller's; empty: none
 };
 
 // Fields of a request head that DecideHead() reads.
--- a/daemon/admin_pages.cc
+++ b/daemon/admin_pages.cc
@@ -186,6 +186,16 @@
   add_metric("log_lines_dropped_total", "counter",
              "Log lines dropped, apart from good calls over their log rate.",
              static_cast<double>(log_.dropped()));
+  const quota_service::counts quotas = quotas_.Counts();
+  add_metric("quotas_owned", "gauge",
+             "Workspaces whose quota this daemon grants.",
+             static_cast<double>(quotas.owned));
+  add_metric("quota_calls_waiting", "gauge",
+             "Calls that wait for the owner of their quota.",
+             static_cast<double>(quotas.waiting));
+  add_metric("quota_messages_sent_total", "counter",
+             "Requests for tokens, and answers to those of peers.",
+             static_cast<double>(quotas.messages_sent));
   add_metric("calls_running", "gauge", "Calls in flight at the instance.",
              load.running);
   add_metric("calls_waiting", "gauge", "Calls queued for the instance.",
--- a/daemon/caller_gate.cc
+++ b/daemon/caller_gate.cc
@@ -11,6 +11,13 @@
 // the daemon has no configuration yet.
 constexpr duration kHeadRefusalRetryAfter = std::chrono::milliseconds(200);
 
+// Longest time for which a request waits for the answer of the owner of its
+// quota. Between regions, the answer takes 24 ms and the processing on two busy
+// hosts.
+constexpr duration kMaxQuotaWait = std::chrono::milliseconds(80);
+// Share of the time until the deadline that this wait may take.
+constexpr int kQuotaWaitDivisor = 4;
+
 constexpr std::string_view kOutcomeHeader =
     "x-parsleyyard-outcome";  // not_run or unknown; set if there is no answer
 constexpr std::string_view kReasonHeader =
@@ -130,7 +137,7 @@
               std::string(NameOf(result.outcome)) + ", " +
               std::string(NameOf(result.reason)) + "\n",
       .close = draining_};
-  if (response.status == 503) {
+  if (response.status == 503 || response.status == 429) {
     dialect_.SetRetryAfter(response, result.retry_after);
   }
   return response;
@@ -262,24 +269,101 @@
                                        .service = decision.plan.service,
                                        .route = decision.plan.route,
                                        .priority = decision.plan.priority},
-                            .started_at = clock_.Now()};
+                            .started_at = clock_.Now(),
+                            .workspace = decision.plan.workspace};
   }
-  begin_call_(call, decision.plan, std::move(message));
+  StartCall(call, {.plan = decision.plan, .message = std::move(message)});
   return [this, call] { OnDisconnect(call); };
 }
 
-// Ends a call whose caller has disconnected, and logs it as LogCallEnd() does.
-void caller_gate::OnDisconnect(std::uint64_t call) {
-  cancel_call_(call);
-  pending_call ended;
+// Begins the call, or holds it until the quota of its workspace admits it.
+void caller_gate::StartCall(std::uint64_t call, held_call held) {
+  const std::string workspace = held.plan.workspace;
+  if (quotas_ == nullptr || workspace.empty()) {
+    begin_call_(call, held.plan, std::move(held.message));
+    return;
+  }
+  const duration max_wait =
+      std::min(kMaxQuotaWait, held.plan.deadline / kQuotaWaitDivisor);
+  {
+    // Held before the quota is asked, as its decision may come at any time.
+    const std::lock_guard lock(mutex_);
+    pending_calls_[call].held = std::move(held);
+  }
+  const quota_decision decision = quotas_->Admit(call, workspace, max_wait);
+  if (decision.verdict != quota_verdict::kWaiting) {
+    OnQuotaDecision(decision);
+  }
+}
+
+void caller_gate::OnQuotaDecision(const quota_decision& decision) {
+  const std::uint64_t call = decision.request;
+  const bool admitted = decision.verdict == quota_verdict::kAdmitted;
+  std::optional<held_call> held;
+  instant started_at{};
   {
     const std::lock_guard lock(mutex_);
     const auto found = pending_calls_.find(call);
-    if (found == pending_calls_.end()) {
-      return;
+    if (found != pending_calls_.end()) {
+      held = std::exchange(found->second.held, std::nullopt);
+      started_at = found->second.started_at;
+      found->second.token = decision.token;
     }
-    ended = std::move(found->second);
-    pending_calls_.erase(found);
+  }
+  if (!held) {
+    if (admitted) {  // its caller has disconnected
+      quotas_->Return(decision.workspace, decision.token);
+    }
+    return;
+  }
+  if (!admitted) {
+    RefuseByQuota(call, decision);
+    return;
+  }
+  const duration waited = clock_.Now() - started_at;
+  held->plan.deadline =
+      std::max(held->plan.deadline - waited, duration::zero());
+  held->plan.objective =
+      std::max(held->plan.objective - waited, duration::zero());
+  begin_call_(call, held->plan, std::move(held->message));
+  // The caller may have disconnected before the call could be cancelled. The
+  // result of a call that has ended already is not affected.
+  bool disconnected = false;
+  {
+    const std::lock_guard lock(mutex_);
+    disconnected = !pending_calls_.contains(call);
+  }
+  if (disconnected) {
+    cancel_call_(call);
+  }
+}
+
+void caller_gate::RefuseByQuota(std::uint64_t call,
+                                const quota_decision& decision) {
+  auto ended = TakePending(call);
+  if (!ended) {
+    return;
+  }
+  const bool used_up = decision.verdict == quota_verdict::kOverQuota;
+  ended->token = {};
+  EndCall(std::move(*ended),
+          {.outcome = call_outcome::kNotRun,
+           .reason = used_up ? refusal_reason::kOverQuota
+                             : refusal_reason::kQuotaUnknown,
+           .status = static_cast<std::uint16_t>(used_up ? 429 : 503),
+           .retry_after = decision.retry_after});
+}
+
+// Ends a call whose caller has disconnected, and logs it as LogCallEnd() does.
+void caller_gate::OnDisconnect(std::uint64_t call) {
+  cancel_call_(call);
+  const auto taken = TakePending(call);
+  if (!taken) {
+    return;
+  }
+  const pending_call& ended = *taken;
+  if (ended.held && quotas_ != nullptr) {
+    quotas_->Cancel(call, ended.workspace);
   }
   LogSteps(ended, TakeSteps(ended.record.request));
   log_.Write(log_kind::kFailedCall, log_level::kInfo, "call",
@@ -362,24 +446,39 @@
 }
 
 void caller_gate::OnResult(std::uint64_t call, call_result result) {
-  pending_call ended;
-  {
-    const std::lock_guard lock(mutex_);
-    const auto found = pending_calls_.find(call);
-    if (found == pending_calls_.end()) {
-      return;
-    }
-    ended = std::move(found->second);
-    pending_calls_.erase(found);
+  auto ended = TakePending(call);
+  if (!ended) {
+    return;
+  }
+  if (result.outcome != call_outcome::kAnswer) {
+    result.status = StatusFor(result);
+  }
+  EndCall(std::move(*ended), std::move(result));
+}
+
+std::optional<caller_gate::pending_call> caller_gate::TakePending(
+    std::uint64_t call) {
+  const std::lock_guard lock(mutex_);
+  const auto found = pending_calls_.find(call);
+  if (found == pending_calls_.end()) {
+    return std::nullopt;
   }
+  pending_call taken = std::move(found->second);
+  pending_calls_.erase(found);
+  return taken;
+}
+
+// Records the result, which has its status, and responds to the caller.
+void caller_gate::EndCall(pending_call ended, call_result result) {
   ended.record.outcome = result.outcome;
   ended.record.reason = result.reason;
   ended.record.attempts = result.attempts;
   ended.record.instance = result.instance;
   ended.record.took = clock_.Now() - ended.started_at;
   const bool answered = result.outcome == call_outcome::kAnswer;
-  if (!answered) {
-    result.status = StatusFor(result);
+  if (result.outcome == call_outcome::kNotRun && quotas_ != nullptr &&
+      ended.token.kind != token_kind::kNone) {
+    quotas_->Return(ended.workspace, ended.token);
   }
   if (result.outcome == call_outcome::kUnknown &&
       result.reason == refusal_reason::kLeaving) {
--- a/daemon/caller_gate.h
+++ b/daemon/caller_gate.h
@@ -9,6 +9,7 @@
 #include "daemon/settings.h"
 #include "daemon/shared_view.h"
 #include "net/net.h"
+#include "workspaces/quota.h"
 
 #include <atomic>
 #include <functional>
@@ -17,6 +18,20 @@
 
 namespace parsleyyard {
 
+// Decides whether the quota of a workspace admits a request. Thread-safe.
+class request_quotas {
+ public:
+  virtual ~request_quotas() = default;
+  // If the verdict is kWaiting, the decision is passed to
+  // caller_gate::OnQuotaDecision() later, possibly before Admit() returns.
+  virtual quota_decision Admit(std::uint64_t call,
+                               const std::string& workspace,
+                               duration max_wait) = 0;
+  virtual void Cancel(std::uint64_t call, const std::string& workspace) = 0;
+  virtual void Return(const std::string& workspace,
+                      const quota_token& token) = 0;
+};
+
 class caller_gate : public http_handler,
                     public call_sink,
                     public call_listener {
@@ -45,6 +60,10 @@
   // Call this before the server listens. `begin` starts a call under a handle
   // that is never reused; `cancel` cancels the call with that handle.
   void SetCallbacks(begin_call_function begin, cancel_call_function cancel);
+  // Call this before the server listens. Without it, quotas do not apply.
+  void SetQuotas(request_quotas& quotas) { quotas_ = &quotas; }
+  // The decision on a call that waited for it.
+  void OnQuotaDecision(const quota_decision& decision);
   // From now on each connection is closed after its response. New requests are
   // still accepted.
   void BeginDrain() { draining_ = true; }
@@ -70,10 +89,18 @@
   void OnCallEvent(const call_event_line& line) override;
 
  private:
+  // A call that waits for the decision about its quota.
+  struct held_call {
+    call_plan plan;
+    call_request message;
+  };
   struct pending_call {
     response_callback reply;
     call_record record;
     instant started_at{};
+    std::string workspace;  // empty: none
+    quota_token token;
+    std::optional<held_call> held;
   };
   // The view at one moment, and the time since the store confirmed it.
   struct observed_view {
@@ -95,6 +122,10 @@
                            const observed_view& observed);
   head_decision DecideRequest(const http_request& request,
                               const observed_view& observed);
+  void StartCall(std::uint64_t call, held_call held);
+  void RefuseByQuota(std::uint64_t call, const quota_decision& decision);
+  std::optional<pending_call> TakePending(std::uint64_t call);
+  void EndCall(pending_call ended, call_result result);
   std::string RequestIdFor(const http_request& head);
   observed_view Observe() const;
   static void AddViewFields(boost::json::object& fields,
@@ -111,6 +142,7 @@
   const http_dialect& dialect_;
   metrics& metrics_;
   event_log& log_;
+  request_quotas* quotas_ = nullptr;
   begin_call_function begin_call_;
   cancel_call_function cancel_call_;
   std::atomic<bool> draining_{false};
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -53,6 +53,14 @@
             platform.dialect,
             metrics_,
             log_),
+      quotas_({.address = settings_.host.address,
+               .limits = platform.limits.quotas,
+               .first_number = incarnation_},
+              clock_,
+              random_,
+              view_,
+              metrics_,
+              log_),
       readiness_handler_(platform.dialect, view_),
       caller_server_(
           context_,
@@ -104,6 +112,14 @@
         const std::lock_guard lock(sender_mutex_);
         sender_.Cancel(call);
       });
+  gate_.SetQuotas(quotas_);
+  quotas_.SetCallbacks(
+      [this](const host_address& owner, const quota_request& message) {
+        mesh_.Send(owner, message, send_mode::kUrgent);
+      },
+      [this](const quota_decision& decision) {
+        gate_.OnQuotaDecision(decision);
+      });
   upstream_.SetCallbacks(
       [this](const call_id& id) {
         const std::lock_guard lock(target_mutex_);
@@ -189,6 +205,7 @@
     const std::lock_guard lock(control_mutex_);
     control_.Tick();
   }
+  quotas_.Tick();
   {
     const std::lock_guard lock(sender_mutex_);
     sender_.Tick();
--- a/daemon/daemon_internals.h
+++ b/daemon/daemon_internals.h
@@ -5,7 +5,8 @@
 //   1. control_mutex_   the view keeper
 //   2. sender_mutex_    the call sender
 //   3. target_mutex_    the call target
-//   4. the mutexes inside caller_gate, upstream_runner, peer_mesh, http_client,
+//   4. the mutex inside quota_service
+//   5. the mutexes inside caller_gate, upstream_runner, peer_mesh, http_client,
 //      http_server, shared_view, locked_random, metrics and event_log. No two
 //      of these are held together, with three exceptions: caller_gate's before
 //      shared_view's or locked_random's, peer_mesh's before shared_view's, and
@@ -19,6 +20,7 @@
 #include "daemon/daemon.h"
 #include "daemon/event_log.h"
 #include "daemon/metrics.h"
+#include "daemon/quota_service.h"
 #include "daemon/readiness_handler.h"
 #include "daemon/shared_view.h"
 #include "daemon/stop_plan.h"
@@ -157,6 +159,7 @@
   std::unique_ptr<config_source> source_;
   upstream_runner upstream_;
   caller_gate gate_;
+  quota_service quotas_;
   readiness_handler readiness_handler_;
   http_server caller_server_;
   http_server ready_server_;
--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -13,6 +13,8 @@
 
 constexpr std::size_t kMaxFailedCalls = 2000;
 constexpr std::size_t kMaxDecisions = 2000;
+// Workspaces with counters of their own: those of a known deployment, twice.
+constexpr std::size_t kMaxQuotaWorkspaces = 150;
 // Upper bounds of the latency buckets. They range from the time of a call
 // between two daemons to the longest deadline, which is a few seconds.
 constexpr std::array<double, 12> kLatencyBucketsSeconds = {
@@ -75,6 +77,14 @@
   ++rejection_counts_[{status, std::string(cause)}];
 }
 
+void metrics::OnQuota(const std::string& workspace, std::string_view result) {
+  const std::lock_guard lock(mutex_);
+  const bool known = quota_counts_.contains(workspace);
+  const bool fits = known || quota_counts_.size() < kMaxQuotaWorkspaces;
+  auto& counts = quota_counts_[fits ? workspace : "other"];
+  ++counts[std::string(result)];
+}
+
 void metrics::OnDecision(std::string line) {
   const std::lock_guard lock(mutex_);
   decisions_.push_back(std::move(line));
@@ -102,6 +112,17 @@
     page << "parsleyyard_rejected_requests_total{status=\"" << key.first
          << "\",cause=\"" << key.second << "\"} " << count << "\n";
   }
+  if (!quota_counts_.empty()) {
+    page << "# HELP parsleyyard_quota_requests_total Requests of workspaces "
+            "with a quota, by the decision.\n"
+         << "# TYPE parsleyyard_quota_requests_total counter\n";
+  }
+  for (const auto& [workspace, counts] : quota_counts_) {
+    for (const auto& [result, count] : counts) {
+      page << "parsleyyard_quota_requests_total{workspace=\"" << workspace
+           << "\",result=\"" << result << "\"} " << count << "\n";
+    }
+  }
   page << "# HELP parsleyyard_call_seconds Latency of answered calls.\n# TYPE "
           "parsleyyard_call_seconds histogram\n";
   for (const auto& [key, histogram] : latency_histograms_) {
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -40,6 +40,8 @@
   void OnCall(const call_record& record);
   // Counts a request that the HTTP server ended by itself.
   void OnRejected(std::uint16_t status, std::string_view cause);
+  // Counts a request that a quota decided on, with its result.
+  void OnQuota(const std::string& workspace, std::string_view result);
   // Keeps a line about a change of the view, for FindDecisions().
   void OnDecision(std::string line);
 
@@ -61,6 +63,9 @@
   std::map<call_counter_key, std::uint64_t> call_counts_;
   std::map<std::pair<std::uint16_t, std::string>, std::uint64_t>
       rejection_counts_;  // by status and cause
+  // By workspace; "other" counts those beyond the bound on their number.
+  std::map<std::string, std::map<std::string, std::uint64_t, std::less<>>>
+      quota_counts_;
   std::map<std::pair<std::string, std::uint32_t>,
            std::unique_ptr<latency_histogram>>
       latency_histograms_;                // by service and priority
--- a/daemon/parsleyyardd.cc
+++ b/daemon/parsleyyardd.cc
@@ -43,6 +43,9 @@
                                                 .window = bounds.retry_window},
                                     .cold = {.factor = bounds.cold_rate_factor,
                                              .slack = bounds.cold_rate_slack},
+                                    .quotas = {.window = bounds.quota_window,
+                                               .over = bounds.quota_over,
+                                               .slack = bounds.quota_slack},
                                     .grace = bounds.grace}};
 }
 
--- a/daemon/peer_wiring.cc
+++ b/daemon/peer_wiring.cc
@@ -60,6 +60,10 @@
   } else if (const auto* cancel = std::get_if<call_cancel>(&message)) {
     const std::lock_guard lock(target_mutex_);
     target_.OnCancel(*cancel);
+  } else if (const auto* request = std::get_if<quota_request>(&message)) {
+    mesh_.Send(from, quotas_.OnRequest(*request), send_mode::kUrgentReply);
+  } else if (const auto* grant = std::get_if<quota_grant>(&message)) {
+    quotas_.OnGrant(*grant);
   } else if (auto* update = std::get_if<view_update>(&message)) {
     const std::lock_guard lock(control_mutex_);
     control_.OnUpdate(std::move(*update));
--- a/net/net.h
+++ b/net/net.h
@@ -136,6 +136,7 @@
   kOpenIfNeeded,  // on the outgoing stream; opens it if there is none
   kUrgent,        // as kOpenIfNeeded, ahead of the messages already queued
   kReply,  // on the stream that the peer opened to this daemon; dropped if none
+  kUrgentReply,  // as kReply, ahead of the messages already queued
 };
 
 class mesh_internals;
--- a/net/peer_mesh.cc
+++ b/net/peer_mesh.cc
@@ -255,10 +255,10 @@
                           const any_message& message,
                           send_mode mode) {
   const std::lock_guard lock(mutex_);
-  if (mode == send_mode::kReply) {
+  if (mode == send_mode::kReply || mode == send_mode::kUrgentReply) {
     const auto found = incoming_.find(peer);
     if (found != incoming_.end()) {
-      SendOn(*found->second, peer, message, false);
+      SendOn(*found->second, peer, message, mode == send_mode::kUrgentReply);
     }
     return;
   }
--- a/workspaces/quota.h
+++ b/workspaces/quota.h
@@ -85,6 +85,10 @@
   std::optional<std::size_t> PositionOf(const host_address& host) const;
   // Null if the workspace has no quota or there is no host.
   const host_address* OwnerOf(std::string_view workspace) const;
+  // True if hosts and quotas are the same.
+  bool operator==(const quota_map& other) const {
+    return hosts_ == other.hosts_ && quotas_ == other.quotas_;
+  }
   // Null if the workspace has no quota.
   const quota* FindQuota(std::string_view workspace) const;
 
@@ -131,6 +135,7 @@
                                  instant confirmed_at,
                                  instant now);
   quota_grant OnRequest(const quota_request& request, instant now);
+  // Workspaces that this host owns.
   std::size_t owned() const { return buckets_.size(); }
 
  private:
