Decide workspaces from keys; strip and set their header fields

Callers got no check of their keys, and an instance got whatever workspace the client stated. workspaces/ decides from the view, its age, the route and the key fields. The caller gate asks it at the head and again when the whole request was read, against one view, and passes the workspace, its priority and the common regions to the plan. platform.bounds strict-revoke and revoke-ms limit the age of a view that accepts keys, also after a reload. format_version is 6.

--- a/calls/calls.h
+++ b/calls/calls.h
@@ -36,6 +36,7 @@
 struct call_plan {
   std::string service;
   std::string route;
+  std::string workspace;                  // empty: the request needs no key
   std::vector<std::string> home_regions;  // allowed regions; empty: all
   std::uint32_t priority = 0;             // 0: most urgent
   bool never_repeat = true;               // must run at most once
--- a/daemon/caller_gate.cc
+++ b/daemon/caller_gate.cc
@@ -53,7 +53,29 @@
 
 // The HTTP status for a request that this daemon refuses by its head.
 std::uint16_t StatusForHead(refusal_reason reason) {
-  return reason == refusal_reason::kNoRoute ? 404 : 503;
+  switch (reason) {
+    case refusal_reason::kNoRoute:
+      return 404;
+    case refusal_reason::kMissingKey:
+    case refusal_reason::kUnknownKey:
+      return 401;
+    default:
+      return 503;
+  }
+}
+
+// Empty if there is no workspace.
+std::string NameOf(const workspace* owner) {
+  return owner ? owner->name : "";
+}
+
+// Requests without a workspace keep the fields that they had before there were
+// any.
+void AddWorkspaceField(boost::json::object& fields,
+                       const std::string& workspace) {
+  if (!workspace.empty()) {
+    fields["workspace"] = workspace;
+  }
 }
 
 std::string PathWithoutQuery(const http_request& head) {
@@ -138,18 +160,22 @@
 
 http_response caller_gate::RefuseHead(const http_request& head,
                                       refusal_reason reason,
-                                      const observed_view& observed) {
+                                      const observed_view& observed,
+                                      const std::string& workspace) {
   const std::string request = RequestIdFor(head);
   const call_result result{.outcome = call_outcome::kNotRun,
                            .reason = reason,
                            .status = StatusForHead(reason),
                            .retry_after = kHeadRefusalRetryAfter};
-  metrics_.OnCall(
-      {.request = request, .outcome = call_outcome::kNotRun, .reason = reason});
+  metrics_.OnCall({.request = request,
+                   .workspace = workspace,
+                   .outcome = call_outcome::kNotRun,
+                   .reason = reason});
   boost::json::object fields{{"request", request},
                              {"status", result.status},
                              {"reason", NameOf(reason)},
                              {"path", PathWithoutQuery(head)}};
+  AddWorkspaceField(fields, workspace);
   AddViewFields(fields, observed);
   log_.Write(log_kind::kFailedCall, log_level::kInfo, "call", "refused at head",
              std::move(fields));
@@ -215,22 +241,40 @@
   if (const auto problem = CheckMessageLimits(head)) {
     return RefuseHead(head, *problem, observed);
   }
-  const refusal_reason refusal =
-      CheckHead(*observed.view, observed.age, ExtractFacts(head));
-  if (refusal != refusal_reason::kNone) {
-    return RefuseHead(head, refusal, observed);
+  const key_decision decision = CheckHeadAndKey(head, observed);
+  if (decision.refusal != refusal_reason::kNone) {
+    return RefuseHead(head, decision.refusal, observed, NameOf(decision.owner));
   }
   return std::nullopt;
 }
 
+// Checks that a route matches the request, and its key.
+key_decision caller_gate::CheckHeadAndKey(const http_request& head,
+                                          const observed_view& observed) const {
+  const snapshot& view = *observed.view;
+  const request_facts facts = ExtractFacts(head);
+  const refusal_reason refusal = CheckHead(view, observed.age, facts);
+  if (refusal != refusal_reason::kNone || !view.config->has_workspaces()) {
+    return {.refusal = refusal};
+  }
+  return DecideKey(view, observed.age,
+                   *view.config->FindRoute(facts.virtual_host, facts.path),
+                   dialect_.Keys(head), max_key_view_age_);
+}
+
 head_decision caller_gate::DecideRequest(const http_request& request,
                                          const observed_view& observed) {
+  const key_decision key = CheckHeadAndKey(request, observed);
+  if (key.refusal != refusal_reason::kNone) {
+    return {.refusal = key.refusal, .plan = {.workspace = NameOf(key.owner)}};
+  }
   head_decision decision;
   {
     const std::lock_guard lock(mutex_);
     decision = DecideHead(*observed.view, observed.age, ExtractFacts(request),
                           splitter_);
   }
+  ApplyWorkspace(key, decision.plan);
   const bool too_late =
       clock_.Now() + decision.plan.deadline > last_deadline_.load();
   if (decision.refusal == refusal_reason::kNone && too_late) {
@@ -244,27 +288,54 @@
   const observed_view observed = Observe();
   const head_decision decision = DecideRequest(request, observed);
   if (decision.refusal != refusal_reason::kNone) {
-    reply(RefuseHead(request, decision.refusal, observed));
+    reply(RefuseHead(request, decision.refusal, observed,
+                     decision.plan.workspace));
     return nullptr;
   }
+  call_request message =
+      BuildMessage(std::move(request), decision.plan, *observed.view);
+  // The key is accepted. Whatever else a workspace's request needs before its
+  // call begins, such as a part of a quota, belongs here.
+  return StartCall(decision.plan, std::move(message), std::move(reply));
+}
+
+// Builds the request for the instance. If the configuration has workspaces, the
+// instance gets no key, and no workspace but the one that was found here.
+call_request caller_gate::BuildMessage(http_request request,
+                                       const call_plan& plan,
+                                       const snapshot& view) {
   call_request message{.request_id = RequestIdFor(request),
                        .method = request.method,
                        .target = request.target,
                        .headers = CopyEndToEndHeaders(request.headers)};
   dialect_.SetCaller(message.headers, settings_.upstream.service);
+  if (view.config->has_workspaces()) {
+    dialect_.RemoveWorkspace(message.headers);
+  }
+  if (!plan.workspace.empty()) {
+    dialect_.SetWorkspace(message.headers, plan.workspace);
+  }
   message.body = std::move(request.body);
+  return message;
+}
+
+// Begins the call. Returns the function for OnRequest() to return.
+std::function<void()> caller_gate::StartCall(const call_plan& plan,
+                                             call_request message,
+                                             response_callback reply) {
   const std::uint64_t call = ++last_call_;
   const std::string request_id = message.request_id;
   {
     const std::lock_guard lock(mutex_);
     pending_calls_[call] = {.reply = std::move(reply),
                             .record = {.request = request_id,
-                                       .service = decision.plan.service,
-                                       .route = decision.plan.route,
-                                       .priority = decision.plan.priority},
+                                       .service = plan.service,
+                                       .route = plan.route,
+                                       .workspace = plan.workspace,
+                                       .priority = plan.priority},
                             .started_at = clock_.Now()};
   }
-  begin_call_(call, decision.plan, std::move(message));
+  begin_call_(call, plan, std::move(message));
   return [this, call] { OnDisconnect(call); };
 }
 
@@ -329,16 +400,17 @@
   if (!succeeded_at_once) {
     LogSteps(ended, steps);
   }
-  log_.Write(kind, log_level::kInfo, "call", "ended",
-             {{"request", ended.record.request},
-              {"route", ended.record.route},
-              {"service", ended.record.service},
-              {"instance", ended.record.instance},
-              {"outcome", NameOf(ended.record.outcome)},
-              {"reason", NameOf(ended.record.reason)},
-              {"status", ended.record.status},
-              {"tries", ended.record.attempts},
-              {"took_ms", ended.record.took.count() / 1000}});
+  boost::json::object fields{{"request", ended.record.request},
+                             {"route", ended.record.route},
+                             {"service", ended.record.service},
+                             {"instance", ended.record.instance},
+                             {"outcome", NameOf(ended.record.outcome)},
+                             {"reason", NameOf(ended.record.reason)},
+                             {"status", ended.record.status},
+                             {"tries", ended.record.attempts},
+                             {"took_ms", ended.record.took.count() / 1000}};
+  AddWorkspaceField(fields, ended.record.workspace);
+  log_.Write(kind, log_level::kInfo, "call", "ended", std::move(fields));
 }
 
 void caller_gate::LogUnfinishedCalls() {
--- a/daemon/caller_gate.h
+++ b/daemon/caller_gate.h
@@ -9,6 +9,7 @@
 #include "daemon/settings.h"
 #include "daemon/shared_view.h"
 #include "net/net.h"
+#include "workspaces/workspaces.h"
 
 #include <atomic>
 #include <functional>
@@ -51,6 +52,10 @@
   // From now on requests whose deadline lies after `end` are refused, since
   // their calls could be cut off then.
   void RefuseBeyond(instant end) { last_deadline_ = end; }
+  // Without a call, keys are accepted by a view of any age.
+  void SetKeyLimits(const key_limits& limits) {
+    max_key_view_age_ = MaxKeyViewAge(limits);
+  }
   std::size_t in_flight() const;
   // Number of calls that ended with an unknown outcome because of the stop.
   std::size_t CutOffCalls() const { return cut_off_; }
@@ -92,9 +97,18 @@
                              const std::string& request) const;
   http_response RefuseHead(const http_request& head,
                            refusal_reason reason,
-                           const observed_view& observed);
+                           const observed_view& observed,
+                           const std::string& workspace = "");
+  key_decision CheckHeadAndKey(const http_request& head,
+                               const observed_view& observed) const;
   head_decision DecideRequest(const http_request& request,
                               const observed_view& observed);
+  call_request BuildMessage(http_request request,
+                            const call_plan& plan,
+                            const snapshot& view);
+  std::function<void()> StartCall(const call_plan& plan,
+                                  call_request message,
+                                  response_callback reply);
   std::string RequestIdFor(const http_request& head);
   observed_view Observe() const;
   static void AddViewFields(boost::json::object& fields,
@@ -115,6 +129,7 @@
   cancel_call_function cancel_call_;
   std::atomic<bool> draining_{false};
   std::atomic<instant> last_deadline_{instant::max()};
+  std::atomic<duration> max_key_view_age_{duration::max()};
   std::atomic<std::uint64_t> last_call_{0};
   std::atomic<std::size_t> cut_off_{0};
   mutable std::mutex
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -91,6 +91,7 @@
       log_timer_(context_),
       drain_timer_(context_),
       grace_(platform.limits.grace) {
+  gate_.SetKeyLimits(platform.limits.keys);
   InstallCallbacks();
 }
 
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -16,6 +16,7 @@
 #include "control/control.h"
 #include "daemon/settings.h"
 #include "net/net.h"
+#include "workspaces/workspaces.h"
 
 #include <functional>
 #include <memory>
@@ -27,6 +28,7 @@
 struct platform_limits {
   retry_limits retries;
   cold_limits cold;
+  key_limits keys;
   // Time from the request to stop until the process is killed; zero: not
   // stated.
   duration grace{};
--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -13,11 +13,27 @@
 
 constexpr std::size_t kMaxFailedCalls = 2000;
 constexpr std::size_t kMaxDecisions = 2000;
+// Workspaces with counts of their own. A daemon may meet thousands of them, and
+// each takes a few lines of the page.
+constexpr std::size_t kMaxWorkspaces = 200;
+constexpr const char* kOtherWorkspaces = "(other)";
 // Upper bounds of the latency buckets. They range from the time of a call
 // between two daemons to the longest deadline, which is a few seconds.
 constexpr std::array<double, 12> kLatencyBucketsSeconds = {
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.5, 5.0};
 
+// Returns the text as the value of a Prometheus label.
+std::string EscapeLabel(std::string_view text) {
+  std::string escaped;
+  for (const char c : text) {
+    if (c == '"' || c == '\\') {
+      escaped += '\\';
+    }
+    escaped += c;
+  }
+  return escaped;
+}
+
 double ToSeconds(duration value) {
   return std::chrono::duration<double>(value).count();
 }
@@ -56,6 +72,7 @@
   const std::lock_guard lock(mutex_);
   ++call_counts_[{record.service, record.priority, record.outcome,
                   record.reason}];
+  CountWorkspace(record);
   if (record.outcome == call_outcome::kAnswer) {
     auto& histogram = latency_histograms_[{record.service, record.priority}];
     if (histogram == nullptr) {
@@ -70,6 +87,34 @@
   }
 }
 
+void metrics::CountWorkspace(const call_record& record) {
+  if (record.workspace.empty()) {
+    return;
+  }
+  const bool has_own = workspace_counts_.contains(record.workspace) ||
+                       workspace_counts_.size() < kMaxWorkspaces;
+  outcome_counts& counts =
+      workspace_counts_[has_own ? record.workspace : kOtherWorkspaces];
+  ++counts[static_cast<std::size_t>(record.outcome)];
+}
+
+// Writes nothing before the first call of a workspace.
+void metrics::RenderWorkspaces(std::ostream& page) const {
+  if (workspace_counts_.empty()) {
+    return;
+  }
+  page << "# HELP parsleyyard_workspace_calls_total Calls of workspaces, by "
+          "outcome.\n"
+       << "# TYPE parsleyyard_workspace_calls_total counter\n";
+  for (const auto& [name, counts] : workspace_counts_) {
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+      page << "parsleyyard_workspace_calls_total{workspace=\""
+           << EscapeLabel(name) << "\",outcome=\"" << kCallOutcomeNames[i]
+           << "\"} " << counts[i] << "\n";
+    }
+  }
+}
+
 void metrics::OnRejected(std::uint16_t status, std::string_view cause) {
   const std::lock_guard lock(mutex_);
   ++rejection_counts_[{status, std::string(cause)}];
@@ -102,6 +147,7 @@
     page << "parsleyyard_rejected_requests_total{status=\"" << key.first
          << "\",cause=\"" << key.second << "\"} " << count << "\n";
   }
+  RenderWorkspaces(page);
   page << "# HELP parsleyyard_call_seconds Latency of answered calls.\n# TYPE "
           "parsleyyard_call_seconds histogram\n";
   for (const auto& [key, histogram] : latency_histograms_) {
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -6,8 +6,10 @@
 
 #include "calls/calls.h"
 
+#include <array>
 #include <deque>
 #include <map>
+#include <iosfwd>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -21,6 +23,7 @@
   std::string request;  // request id
   std::string service;
   std::string route;
+  std::string workspace;  // empty: none, or not known
   std::string instance;  // id of the instance that answered or was tried last
   std::uint32_t priority = 0;
   call_outcome outcome = call_outcome::kUnknown;
@@ -36,7 +39,8 @@
   metrics();
   ~metrics();
 
-  // Counts an ended call.
+  // Counts an ended call. Calls of workspaces beyond a bound are counted
+  // together.
   void OnCall(const call_record& record);
   // Counts a request that the HTTP server ended by itself.
   void OnRejected(std::uint16_t status, std::string_view cause);
@@ -54,16 +58,21 @@
 
  private:
   struct latency_histogram;
+  using outcome_counts = std::array<std::uint64_t, kCallOutcomeNames.size()>;
   using call_counter_key =
       std::tuple<std::string, std::uint32_t, call_outcome, refusal_reason>;
 
   mutable std::mutex mutex_;  // guards all below; last in the lock order
   std::map<call_counter_key, std::uint64_t> call_counts_;
+  std::map<std::string, outcome_counts> workspace_counts_;  // by name
   std::map<std::pair<std::uint16_t, std::string>, std::uint64_t>
       rejection_counts_;  // by status and cause
   std::map<std::pair<std::string, std::uint32_t>,
            std::unique_ptr<latency_histogram>>
       latency_histograms_;                // by service and priority
+
+  void CountWorkspace(const call_record& record);
+  void RenderWorkspaces(std::ostream& page) const;
   std::deque<call_record> failed_calls_;  // recent calls without an answer
   std::deque<std::string> decisions_;     // recent changes of the view
 };
--- a/daemon/parsleyyardd.cc
+++ b/daemon/parsleyyardd.cc
@@ -43,6 +43,8 @@
                                                 .window = bounds.retry_window},
                                     .cold = {.factor = bounds.cold_rate_factor,
                                              .slack = bounds.cold_rate_slack},
+                                    .keys = {.strict = bounds.strict_revoke,
+                                             .revoke = bounds.revoke},
                                     .grace = bounds.grace}};
 }
 
--- a/daemon/reload.cc
+++ b/daemon/reload.cc
@@ -38,6 +38,7 @@
       const std::lock_guard lock(target_mutex_);
       target_.SetColdLimits(limits.cold);
     }
+    gate_.SetKeyLimits(limits.keys);
     grace_ = limits.grace;
     log_.SetLimits(ParseLogLevel(settings), settings.process.log_good_calls);
     settings_.process.log_level = settings.process.log_level;
--- a/model/messages_generated.h
+++ b/model/messages_generated.h
@@ -59,15 +59,42 @@
                   // request for good
   kOverBound,     // the request is over a bound of this daemon that the
                   // configuration does not set
-};
-
-inline constexpr std::array<std::string_view, 23> kRefusalReasonNames = {
-    "none",           "no_route",         "no_upstream",   "failure_domain_out",
-    "leaving",        "overloaded",       "cold",          "deadline_passed",
-    "starting",       "paused",           "fenced",        "wrong_incarnation",
-    "wrong_instance", "upstream_refused", "upstream_lost", "bad_answer",
-    "link_lost",      "timeout",          "cancelled",     "retries_spent",
-    "bad_request",    "stale_view",       "over_bound",
+  kMissingKey,    // the route needs the key of a workspace, and the request has
+                  // none
+  kUnknownKey,    // no workspace has the key of the request, or the request has
+                  // different keys
+  kUnconfirmedKey,  // the store confirmed the view too long ago to accept a key
+  kNoCommonRegion,  // no region is allowed by both the route and the workspace
+};
+
+inline constexpr std::array<std::string_view, 27> kRefusalReasonNames = {
+    "none",
+    "no_route",
+    "no_upstream",
+    "failure_domain_out",
+    "leaving",
+    "overloaded",
+    "cold",
+    "deadline_passed",
+    "starting",
+    "paused",
+    "fenced",
+    "wrong_incarnation",
+    "wrong_instance",
+    "upstream_refused",
+    "upstream_lost",
+    "bad_answer",
+    "link_lost",
+    "timeout",
+    "cancelled",
+    "retries_spent",
+    "bad_request",
+    "stale_view",
+    "over_bound",
+    "missing_key",
+    "unknown_key",
+    "unconfirmed_key",
+    "no_common_region",
 };
 
 constexpr std::string_view NameOf(refusal_reason value) {
--- a/net/headers.cc
+++ b/net/headers.cc
@@ -71,12 +71,16 @@
   return kept;
 }
 
-void SetHeader(std::vector<call_header>& headers,
-               std::string_view name,
-               std::string_view value) {
+void RemoveHeader(std::vector<call_header>& headers, std::string_view name) {
   std::erase_if(headers, [&](const call_header& header) {
     return iequals(header.name, name);
   });
+}
+
+void SetHeader(std::vector<call_header>& headers,
+               std::string_view name,
+               std::string_view value) {
+  RemoveHeader(headers, name);
   headers.push_back({.name = std::string(name), .value = std::string(value)});
 }
 
--- a/net/net.h
+++ b/net/net.h
@@ -395,7 +395,16 @@
   virtual duration Deadline(
       const http_request& head) const = 0;  // time left; zero: not stated
   virtual bool IsReadinessCheck(const http_request& head) const = 0;
-
+  // Values of all key fields. They are secret: no log line, metric, error or
+  // message to another daemon may contain them.
+  virtual std::vector<std::string> Keys(const http_request& head) const = 0;
+
+  // RemoveWorkspace() removes all key fields and all fields that name a
+  // workspace, whoever set them. SetWorkspace() also sets the workspace that
+  // the request runs for.
+  virtual void RemoveWorkspace(std::vector<call_header>& headers) const = 0;
+  virtual void SetWorkspace(std::vector<call_header>& headers,
+                            const std::string& workspace) const = 0;
   // Set the fields of a request to an instance: the service that called, and
   // the instance that must run the request within `time_left`.
   virtual void SetCaller(std::vector<call_header>& headers,
@@ -420,6 +429,8 @@
 // Value of the first field of that name, case-insensitive; null if absent.
 const std::string* FindHeader(const std::vector<call_header>& headers,
                               std::string_view name);
+// Removes all fields of that name, case-insensitive.
+void RemoveHeader(std::vector<call_header>& headers, std::string_view name);
 // Removes all fields of that name, case-insensitive, and appends one.
 void SetHeader(std::vector<call_header>& headers,
                std::string_view name,
--- a/wire/codec_generated.h
+++ b/wire/codec_generated.h
@@ -12,7 +12,7 @@
 namespace parsleyyard {
 
 // Format version of all messages; a peer with a different version is refused.
-inline constexpr std::uint16_t kFormatVersion = 5;
+inline constexpr std::uint16_t kFormatVersion = 6;
 
 // Any message that daemons send to each other.
 using any_message = std::variant<link_hello,
@@ -107,7 +107,7 @@
 void serialize(Archive& archive, call_answer& value) {
   archive(value.id);
   archive(checked_enum{value.outcome, 3});
-  archive(checked_enum{value.reason, 23});
+  archive(checked_enum{value.reason, 27});
   archive(checked_bool{value.reached_instance});
   archive(value.status);
   archive(value.load);
