--- a/calls/calls.h
+++ b/calls/calls.h
@@ -36,13 +36,13 @@
 struct call_plan {
   std::string service;
   std::string route;
+  std::string workspace;                  // empty: the request needs no key
   std::vector<std::string> home_regions;  // allowed regions; empty: all
   std::uint32_t priority = 0;             // 0: most urgent
   bool never_repeat = true;               // must run at most once
   std::uint32_t max_attempts = 1;  // instances that the request may reach
   duration deadline{};             // time left until the deadline
   duration objective{};            // time left until the latency objective
-  std::string workspace;           // name of the caller's; empty: none
 };
 
 // Fields of a request head that DecideHead() reads.
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -17,6 +17,7 @@
 #include "daemon/settings.h"
 #include "net/net.h"
 #include "workspaces/quota.h"
+#include "workspaces/workspaces.h"
 
 #include <functional>
 #include <memory>
@@ -29,6 +30,7 @@
   retry_limits retries;
   cold_limits cold;
   quota_limits quotas;
+  key_limits keys;
   // Time from the request to stop until the process is killed; zero: not
   // stated.
   duration grace{};
--- a/daemon/parsleyyardd.cc
+++ b/daemon/parsleyyardd.cc
@@ -46,6 +46,8 @@
                                     .quotas = {.window = bounds.quota_window,
                                                .over = bounds.quota_over,
                                                .slack = bounds.quota_slack},
+                                    .keys = {.strict = bounds.strict_revoke,
+                                             .revoke = bounds.revoke},
                                     .grace = bounds.grace}};
 }
 
--- a/wire/codec_generated.h
+++ b/wire/codec_generated.h
@@ -109,7 +109,7 @@
 void serialize(Archive& archive, call_answer& value) {
   archive(value.id);
   archive(checked_enum{value.outcome, 3});
-  archive(checked_enum{value.reason, 25});
+  archive(checked_enum{value.reason, 29});
   archive(checked_bool{value.reached_instance});
   archive(value.status);
   archive(value.load);
