--- a/daemon/settings_generated.cc
+++ b/daemon/settings_generated.cc
@@ -240,6 +240,15 @@
        .target = [](daemon_settings& s) -> setting_target {
          return &s.process.workers;
        }},
+      {.section = "process",
+       .key = "memory_mb",
+       .kind = setting_kind::kCount,
+       .min = 0,
+       .max = 1048576,
+       .one_of = {},
+       .target = [](daemon_settings& s) -> setting_target {
+         return &s.process.memory_mb;
+       }},
       {.section = "process",
        .key = "log_level",
        .kind = setting_kind::kString,
--- a/daemon/settings_generated.h
+++ b/daemon/settings_generated.h
@@ -95,6 +95,10 @@
   // Threads and logging of the process.
   struct {
     std::uint32_t workers = 1;  // number of worker threads
+    std::uint32_t memory_mb =
+        0;  // memory of the host in MiB, from which the limit on the bytes of
+            // requests and responses follows; 0: the total that the system
+            // states
     std::string log_level =
         "info";  // lowest level of log lines: info, warning or error
     std::uint32_t log_good_calls =
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -97,7 +97,7 @@
                             "warmup-s": cold_ms / 1000, "warmup-per-s": cold_rate}} for service in profile["services"]]
     resources.append({"resource-type": "limits", "metadata": {},
                       "spec": {"max-header-bytes": 16384, "max-body-bytes": 1048576, "header-timeout-ms": 3000,
-                               "idle-timeout-ms": 30000}})
+                               "idle-timeout-ms": 30000, **profile.get("limits", {})}})
     return {"version": version, "resources": resources}
 
 
@@ -306,3 +306,10 @@
 def cpu_seconds(pid):
     fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def peak_memory_kb(pid):
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM"):
+            return int(line.split()[1])
+    return 0
