Client tests: attempt ids, bodies of 8 MiB at the stand-in, a stop before the limit

The stand-in instance refused bodies over 1 MiB, and answers without an attempt id were dropped, so no request of the tests was answered.

--- a/standins/upstream.cc
+++ b/standins/upstream.cc
@@ -29,6 +29,8 @@
 // Time between two registrations; each one renews the lease.
 constexpr auto kHeartbeatInterval = std::chrono::milliseconds(1500);
 constexpr auto kRegisterTimeout = std::chrono::seconds(1);
+// The largest body that a daemon can be set to accept.
+constexpr std::size_t kMaxBodyBytes = 12'000'000;
 // Time from the registration as draining until new requests are rejected.
 constexpr auto kDrainNotice = std::chrono::milliseconds(2000);
 
@@ -324,8 +326,12 @@
   ParseOrExit(argc, argv, options);
   asio::io_context context;
   upstream_service service(context, parsed);
-  http_server server(context, {.address = parsed.address, .port = parsed.port},
-                     service);
+  http_server server(
+      context,
+      {.address = parsed.address,
+       .port = parsed.port,
+       .limits = [] { return http_limits{.max_body_bytes = kMaxBodyBytes}; }},
+      service);
   ListenOrExit(server);
   asio::signal_set signals(context, SIGTERM);
   signals.async_wait(
--- a/tests/clients_test.py
+++ b/tests/clients_test.py
@@ -1,7 +1,9 @@
 #!/usr/bin/env python3
 """Clients that exceed the limits, against real daemons. They check memory, descriptors and one request; no times."""
 
+import itertools
 import pathlib
+import random
 import selectors
 import socket
 import sys
@@ -35,6 +37,16 @@
 SETTINGS = {"process": {"log_level": "warning", "memory_mb": HOST_MEMORY_MB}}
 
 
+STOP = b""  # in the pieces of a request: send no more for now
+attempts = itertools.count(1)
+
+
+def post(address, body):
+    """A whole request with an attempt id, which the instance repeats in its response."""
+    return urllib.request.Request(f"http://{address}:8080/agenda/x", data=body, headers={
+        "Host": fleet.VIRTUAL_HOST, "Attempt-Id": f"clients-{next(attempts)}"})
+
+
 def head(field):
     return f"POST /agenda/x HTTP/1.1\r\nHost: {fleet.VIRTUAL_HOST}\r\n{field}\r\n\r\n".encode()
 
@@ -48,6 +60,15 @@
         sent -= piece
 
 
+def over_the_limit():
+    """A chunked body that runs over the limit, with a stop just before it, until all clients are there."""
+    yield from chunked(MAX_BODY - MIB, 16 * 1024, 64 * 1024)
+    yield STOP
+    framed = b"%x\r\n" % MIB + b"o" * MIB + b"\r\n"
+    for _ in range(9):
+        yield framed
+
+
 def chunked(sent, chunk, piece):
     """A chunked body with `sent` bytes of content and without its last chunk, in pieces of whole chunks."""
     yield head("Transfer-Encoding: chunked")
@@ -66,21 +87,22 @@
         self.socket.setblocking(False)
 
     def send(self):
-        """Returns False when nothing is left to send or the daemon has closed the connection."""
-        if not self.rest:
-            self.rest = memoryview(next(self.pieces, b""))
+        """Returns False at a stop, at the end, and when the daemon has closed the connection."""
         try:
-            self.rest = self.rest[self.socket.send(self.rest):] if self.rest else None
+            if not self.rest:
+                self.rest = memoryview(next(self.pieces, STOP))
+            if not self.rest:
+                return False
+            self.rest = self.rest[self.socket.send(self.rest):]
         except BlockingIOError:
             pass
         except OSError:
             return False
-        return self.rest is not None
+        return True
 
 
-def send_all(address, bodies):
-    """Sends all bodies at once, a piece of each in turn; returns the open connections."""
-    senders = [Sender(address, pieces) for pieces in bodies]
+def send_until_stop(senders):
+    """Sends a piece of each request in turn, until all are at a stop."""
     deadline = time.time() + SENDING_SECONDS
     with selectors.DefaultSelector() as selector:
         for sender in senders:
@@ -89,6 +111,13 @@
             for key, _ in selector.select(timeout=0.1):
                 if not key.data.send():
                     selector.unregister(key.fileobj)
+
+
+def send_all(address, bodies):
+    """Sends all bodies at the same time; returns the open connections."""
+    senders = [Sender(address, pieces) for pieces in bodies]
+    send_until_stop(senders)
+    send_until_stop(senders)
     return [sender.socket for sender in senders]
 
 
@@ -101,10 +130,8 @@
         """One request is answered, where need be after refusals that say that it may be sent again."""
         deadline, seen = time.time() + 10, []
         while time.time() < deadline:
-            request = urllib.request.Request(f"http://{host.address}:8080/agenda/x", data=body,
-                                             headers={"Host": fleet.VIRTUAL_HOST})
             try:
-                with urllib.request.urlopen(request, timeout=5) as response:
+                with urllib.request.urlopen(post(host.address, body), timeout=5) as response:
                     return self.assertEqual(response.status, 200)
             except urllib.error.HTTPError as error:
                 seen.append((error.code, error.headers["x-parsleyyard-reason"]))
@@ -158,7 +185,7 @@
         self.check([with_length(8 * MAX_BODY, 2 * MAX_BODY, 64 * 1024) for _ in range(CLIENTS)])
 
     def test_over_the_limit_not_announced(self):
-        self.check([chunked(2 * MAX_BODY, 16 * 1024, 64 * 1024) for _ in range(CLIENTS)])
+        self.check([over_the_limit() for _ in range(CLIENTS)])
 
 
 class ManyPeersTest(ClientsCase):
@@ -167,10 +194,8 @@
     ENTRIES, CLIENTS_EACH, BODY = 6, 8, 5 * MIB
 
     def send_whole(self, address, statuses):
-        request = urllib.request.Request(f"http://{address}:8080/agenda/x", data=b"b" * self.BODY,
-                                         headers={"Host": fleet.VIRTUAL_HOST})
         try:
-            with urllib.request.urlopen(request, timeout=20) as response:
+            with urllib.request.urlopen(post(address, random.randbytes(self.BODY)), timeout=20) as response:
                 statuses.append(response.status)
         except urllib.error.HTTPError as error:
             statuses.append(error.code)
