One byte budget for requests and responses of the process

Clients that sent many large bodies and stopped short of their end ran the daemon out of memory, and so did calls with large bodies from many daemons at the one beside the instance. Bodies were read whenever they came, whatever the process held.

Connections of callers ask before they read, for heads, bodies, buffers and copies, and count responses until they are written. Streams between daemons ask for the long frames of calls and answers; what finds no memory is dropped before it is decoded, and refused as not run. The C library returns freed buffers from 128 KiB to the system.

--- a/daemon/admin_pages.cc
+++ b/daemon/admin_pages.cc
@@ -186,6 +186,15 @@
   add_metric("log_lines_dropped_total", "counter",
              "Log lines dropped, apart from good calls over their log rate.",
              static_cast<double>(log_.dropped()));
+  add_metric("memory_limit_bytes", "gauge",
+             "Limit on the bytes of requests and responses.",
+             static_cast<double>(memory_limits_.total));
+  add_metric("memory_held_bytes", "gauge",
+             "Bytes of requests and responses that are held.",
+             static_cast<double>(memory_->held()));
+  add_metric("memory_refusals_total", "counter",
+             "Requests and responses that gave way for lack of memory.",
+             static_cast<double>(memory_->refusals()));
   add_metric("calls_running", "gauge", "Calls in flight at the instance.",
              load.running);
   add_metric("calls_waiting", "gauge", "Calls queued for the instance.",
--- a/daemon/call_wiring.cc
+++ b/daemon/call_wiring.cc
@@ -22,6 +22,10 @@
     mesh_.Send(to, *message, send_mode::kIfConnected);
     return;
   }
+  // Counts the copy in the request to the instance. The message itself counts
+  // at the connection of the caller.
+  const std::size_t bytes = message->body.size();
+  message = HoldCall(std::move(message), bytes);
   asio::post(context_, [this, to, message = std::move(message)]() mutable {
     const std::lock_guard lock(target_mutex_);
     target_.OnCall(to, std::move(message));
--- a/daemon/caller_gate.cc
+++ b/daemon/caller_gate.cc
@@ -7,6 +7,9 @@
 // Limits on message fields; must match schema/messages.toml.
 constexpr std::size_t kMaxHeadFieldBytes = 65536;
 constexpr std::size_t kMaxRequestIdBytes = 200;
+// Retry-after for a request that gave way for lack of memory. Requests that are
+// slower or larger leave within this time.
+constexpr duration kMemoryRetryAfter = std::chrono::seconds(1);
 // Retry-after for a request that is refused by its head, for example while
 // the daemon has no configuration yet.
 constexpr duration kHeadRefusalRetryAfter = std::chrono::milliseconds(200);
@@ -41,6 +44,8 @@
       return CheckLimit(view, view_age,
                         {.configured = &caller_limits::max_body_bytes,
                          .applied = rejection.limits.max_body_bytes});
+    case rejection_cause::kNoMemory:
+      return refusal_reason::kOverloaded;
     case rejection_cause::kTooManyFields:
     case rejection_cause::kFramingTooLarge:
       return refusal_reason::kOverBound;
@@ -199,11 +204,14 @@
   if (!replaced) {
     return std::nullopt;
   }
-  return BuildRefusal({.outcome = call_outcome::kNotRun,
-                       .reason = reason,
-                       .status = status,
-                       .retry_after = kHeadRefusalRetryAfter},
-                      RequestIdFor(rejection.head));
+  return BuildRefusal(
+      {.outcome = call_outcome::kNotRun,
+       .reason = reason,
+       .status = status,
+       .retry_after = rejection.cause == rejection_cause::kNoMemory
+                          ? kMemoryRetryAfter
+                          : kHeadRefusalRetryAfter},
+      RequestIdFor(rejection.head));
 }
 
 bool caller_gate::MayPipeline(const http_request& head) {
--- a/daemon/component_options.cc
+++ b/daemon/component_options.cc
@@ -15,6 +15,12 @@
 constexpr std::size_t kMaxCallerHeaderFields =
     kMaxMessageHeaders - kAddedHeaderFields;
 
+// Any limit that follows from the memory of the host leaves room for the
+// largest message.
+constexpr std::uint64_t kMinMessageBytes = std::uint64_t{16} << 20;
+constexpr std::uint64_t kMaxQueuedBytes = std::uint64_t{64} << 20;
+constexpr std::uint64_t kMaxReceivingBytes = std::uint64_t{32} << 20;
+
 }  // namespace
 
 region_map ParseRegions(const daemon_settings& settings) {
@@ -69,14 +75,24 @@
 
 http_server_options BuildCallerServerOptions(
     const daemon_settings& s,
-    std::function<http_limits()> limits) {
+    std::function<http_limits()> limits,
+    std::shared_ptr<memory_budget> memory) {
   return {.address = s.listen.callers.address,
           .port = s.listen.callers.port,
           .max_header_fields = kMaxCallerHeaderFields,
           .max_connections = s.calls.max_connections,
           .max_pipelined_requests = s.calls.max_pipelined,
           .max_pipelined_bytes = s.calls.max_pipelined_bytes,
-          .limits = std::move(limits)};
+          .limits = std::move(limits),
+          .memory = std::move(memory)};
+}
+
+std::size_t MaxQueuedBytes(std::uint64_t host_memory) {
+  return std::clamp(host_memory / 4, kMinMessageBytes, kMaxQueuedBytes);
+}
+
+std::size_t MaxReceivingBytes(std::uint64_t host_memory) {
+  return std::clamp(host_memory / 10, kMinMessageBytes, kMaxReceivingBytes);
 }
 
 log_level ParseLogLevel(const daemon_settings& s) {
--- a/daemon/component_options.h
+++ b/daemon/component_options.h
@@ -32,7 +32,14 @@
 // `limits` is called for each request.
 http_server_options BuildCallerServerOptions(
     const daemon_settings& s,
-    std::function<http_limits()> limits);
+    std::function<http_limits()> limits,
+    std::shared_ptr<memory_budget> memory = nullptr);
+
+// Limit on the send queue of one stream to a peer, and on the bytes of the
+// instance's responses that are received at the same time. `host_memory` is in
+// bytes.
+std::size_t MaxQueuedBytes(std::uint64_t host_memory);
+std::size_t MaxReceivingBytes(std::uint64_t host_memory);
 
 log_level ParseLogLevel(const daemon_settings& s);
 
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -4,6 +4,7 @@
 
 #include "daemon/component_options.h"
 #include "daemon/daemon_internals.h"
+#include "daemon/host_memory.h"
 
 #include <boost/asio/post.hpp>
 
@@ -17,6 +18,7 @@
 constexpr duration kTickInterval = std::chrono::milliseconds(20);
 constexpr duration kLinkCheckInterval = std::chrono::milliseconds(500);
 constexpr duration kLogFlushInterval = std::chrono::milliseconds(100);
+constexpr duration kMemoryLogInterval = std::chrono::seconds(1);
 // Percentage of the configured idle timeout after which an idle connection of a
 // caller is closed. Above 100, so that a request sent within the configured
 // timeout does not meet a closing connection.
@@ -31,19 +33,25 @@
       random_(SystemSeed()),
       context_(static_cast<int>(settings_.process.workers)),
       log_(BuildLogOptions(settings_), clock_),
+      host_memory_(HostMemory(settings_.process.memory_mb)),
+      memory_limits_(LimitsForHost(host_memory_)),
+      memory_(std::make_shared<memory_budget>(memory_limits_)),
       mesh_(context_,
             {.address = settings_.host.address,
              .port = settings_.listen.peers,
              .incarnation = incarnation_,
+             .max_queued_bytes = MaxQueuedBytes(host_memory_),
              .resolve =
                  [this](const host_address& peer) {
                    return ResolveConnectAddress(peer);
-                 }},
+                 },
+             .memory = memory_},
             *this),
       source_(platform.create_source(context_, *this)),
       upstream_(context_,
                 {.address = settings_.upstream.instance.address,
-                 .port = settings_.upstream.instance.port},
+                 .port = settings_.upstream.instance.port,
+                 .max_receiving_bytes = MaxReceivingBytes(host_memory_)},
                 platform.dialect),
       gate_(settings_,
             incarnation_,
@@ -54,19 +62,22 @@
             metrics_,
             log_),
       readiness_handler_(platform.dialect, view_),
-      caller_server_(
-          context_,
-          BuildCallerServerOptions(settings_,
-                                   [this] { return CallerLimits(); }),
-          gate_),
+      caller_server_(context_,
+                     BuildCallerServerOptions(
+                         settings_,
+                         [this] { return CallerLimits(); },
+                         memory_),
+                     gate_),
       ready_server_(context_,
                     {.address = settings_.listen.ready.address,
-                     .port = settings_.listen.ready.port},
+                     .port = settings_.listen.ready.port,
+                     .memory = memory_},
                     readiness_handler_),
-      admin_server_(
-          context_,
-          {.address = settings_.host.address, .port = settings_.listen.admin},
-          *this),
+      admin_server_(context_,
+                    {.address = settings_.host.address,
+                     .port = settings_.listen.admin,
+                     .memory = memory_},
+                    *this),
       control_(BuildViewOptions(settings_, incarnation_),
                clock_,
                platform.decoder,
@@ -89,6 +100,7 @@
       tick_timer_(context_),
       link_timer_(context_),
       log_timer_(context_),
+      memory_timer_(context_),
       drain_timer_(context_),
       grace_(platform.limits.grace) {
   InstallCallbacks();
@@ -158,6 +170,8 @@
   RunPeriodically(link_timer_, kLinkCheckInterval,
                   &daemon_internals::OpenMissingLinks);
   RunPeriodically(log_timer_, kLogFlushInterval, &daemon_internals::FlushLog);
+  RunPeriodically(memory_timer_, kMemoryLogInterval,
+                  &daemon_internals::LogMemoryRefusals);
   std::vector<std::thread> workers;
   for (std::uint32_t i = 1; i < settings_.process.workers; ++i) {
     workers.emplace_back([this] { context_.run(); });
@@ -201,6 +215,20 @@
   log_.Flush();
 }
 
+// Writes at most one line in each interval.
+void daemon_internals::LogMemoryRefusals() {
+  const std::uint64_t refusals = memory_->refusals();
+  if (refusals == logged_refusals_) {
+    return;
+  }
+  log_.Write(log_kind::kProcess, log_level::kWarning, "daemon",
+             "memory budget used up",
+             {{"refusals", refusals - logged_refusals_},
+              {"held_bytes", memory_->held()},
+              {"limit_bytes", memory_limits_.total}});
+  logged_refusals_ = refusals;
+}
+
 proxy_daemon::proxy_daemon(daemon_settings settings,
                            const daemon_platform& platform)
     : internals_(
--- a/daemon/daemon_internals.h
+++ b/daemon/daemon_internals.h
@@ -23,6 +23,7 @@
 #include "daemon/shared_view.h"
 #include "daemon/stop_plan.h"
 #include "daemon/upstream_runner.h"
+#include "net/memory_budget.h"
 #include "net/net.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -99,6 +100,7 @@
 
   // mesh_listener
   void OnMessage(const host_address& from, any_message message) override;
+  void OnCallDropped(const host_address& from, const call_id& id) override;
   void OnLinkUp(const host_address& peer, std::uint64_t incarnation) override;
   void OnPeerStops(const host_address& peer) override;
   void OnLinkDown(const host_address& peer) override;
@@ -120,6 +122,7 @@
   void Tick();
   void OpenMissingLinks();
   void FlushLog();
+  void LogMemoryRefusals();
   stop_plan PlanThisStop() const;
   void EndCallsBy(instant end);
   void ContinueDrain();
@@ -130,6 +133,9 @@
     return to == settings_.host.address;
   }
   http_limits CallerLimits() const;
+  std::shared_ptr<const call_request> HoldCall(
+      std::shared_ptr<const call_request> call,
+      std::size_t bytes);
   host_address ResolveConnectAddress(const host_address& peer) const;
   std::string HealthPath() const;
   void InstallCallbacks();
@@ -153,6 +159,10 @@
   event_log log_;
   shared_view view_;
   metrics metrics_;
+  const std::uint64_t host_memory_;  // bytes
+  const memory_limits memory_limits_;
+  const std::shared_ptr<memory_budget> memory_;
+  std::uint64_t logged_refusals_ = 0;  // of memory_
   peer_mesh mesh_;
   std::unique_ptr<config_source> source_;
   upstream_runner upstream_;
@@ -174,6 +184,7 @@
   asio::steady_timer tick_timer_;
   asio::steady_timer link_timer_;
   asio::steady_timer log_timer_;
+  asio::steady_timer memory_timer_;
   asio::steady_timer drain_timer_;
   std::atomic<duration> grace_;  // platform_limits::grace
   std::atomic<bool> draining_{false};
--- a/daemon/parsleyyardd.cc
+++ b/daemon/parsleyyardd.cc
@@ -9,6 +9,10 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/program_options.hpp>
 
+#if defined(__GLIBC__)
+#include <malloc.h>
+#endif
+
 #include <csignal>
 #include <cstdlib>
 #include <functional>
@@ -207,8 +211,21 @@
       });
 }
 
+// Makes the C library return each freed buffer of a large body to the system.
+// By default it keeps freed blocks up to a threshold that grows to 32 MiB, and
+// they count as memory of the process.
+void ReturnFreedMemory() {
+#if defined(__GLIBC__)
+  constexpr int kMinMappedBytes = 128 * 1024;
+  constexpr int kMaxKeptTopBytes = 4 * 1024 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kMinMappedBytes);
+  mallopt(M_TRIM_THRESHOLD, kMaxKeptTopBytes);
+#endif
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
+  ReturnFreedMemory();
   return Main(argc, argv);
 }
--- a/daemon/peer_wiring.cc
+++ b/daemon/peer_wiring.cc
@@ -48,7 +48,9 @@
 void daemon_internals::OnMessage(const host_address& from,
                                  any_message message) {
   if (auto* call = std::get_if<call_request>(&message)) {
-    auto shared = std::make_shared<const call_request>(std::move(*call));
+    const std::size_t bytes = call->body.size() * kBodyCopies;
+    auto shared =
+        HoldCall(std::make_shared<const call_request>(std::move(*call)), bytes);
     const std::lock_guard lock(target_mutex_);
     target_.OnCall(from, std::move(shared));
   } else if (auto* answer = std::get_if<call_answer>(&message)) {
@@ -67,6 +69,28 @@
   }
 }
 
+// Counts a call in the memory budget until it has ended. A short one is not
+// counted: the limits on waiting and running calls bound them.
+std::shared_ptr<const call_request> daemon_internals::HoldCall(
+    std::shared_ptr<const call_request> call,
+    std::size_t bytes) {
+  constexpr std::size_t kMinHeldBytes = 4096;
+  return bytes < kMinHeldBytes ? call
+                               : HoldMessage(std::move(call), bytes, memory_);
+}
+
+void daemon_internals::OnCallDropped(const host_address& from,
+                                     const call_id& id) {
+  call_answer answer{.id = id,
+                     .outcome = call_outcome::kNotRun,
+                     .reason = refusal_reason::kOverloaded};
+  {
+    const std::lock_guard lock(target_mutex_);
+    answer.load = target_.Load();
+  }
+  mesh_.Send(from, answer, send_mode::kReply);
+}
+
 void daemon_internals::OnLinkUp(const host_address& peer,
                                 std::uint64_t incarnation) {
   {
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -33,6 +33,11 @@
     acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
     acceptor_.bind(tcp::endpoint(address, options_.port), error);
   }
+  if (!error && options_.memory != nullptr) {
+    // The accepted sockets inherit it.
+    acceptor_.set_option(
+        asio::socket_base::receive_buffer_size(kCallerReceiveBytes), error);
+  }
   if (!error) {
     acceptor_.listen(asio::socket_base::max_listen_connections, error);
   }
--- a/net/http_server_internals.h
+++ b/net/http_server_internals.h
@@ -3,6 +3,7 @@
 #ifndef PARSLEYYARD_NET_HTTP_SERVER_INTERNALS_H_
 #define PARSLEYYARD_NET_HTTP_SERVER_INTERNALS_H_
 
+#include "net/memory_budget.h"
 #include "net/net.h"
 #include "net/response_queue.h"
 
@@ -78,6 +79,8 @@
                std::shared_ptr<http_server_internals> server)
       : socket_(std::move(socket)),
         server_(std::move(server)),
+        input_account_(server_->options_.memory),
+        queue_account_(server_->options_.memory),
         reader_wakeup_(socket_.get_executor()),
         write_timeout_(socket_.get_executor()) {
     server_->AddSession(this);
@@ -120,6 +123,16 @@
 
   asio::awaitable<void> Receive(time_point deadline);
   void WatchForInput();
+  void SetOnShed();
+  memory_grant TryHoldInput(std::size_t room);
+  bool EndRefusedInput();
+  void OnInputShed();
+  void OnQueueShed();
+  void HoldBuffer();
+  asio::awaitable<boost::beast::error_code> HoldCopies(std::size_t body_bytes,
+                                                       time_point deadline);
+  bool HoldResponse();
+  void Abandon();
   void OnCallerClosed();
   asio::awaitable<boost::beast::error_code> Read(request_parser& parser,
                                                  message_part until,
@@ -151,6 +164,13 @@
   std::shared_ptr<http_server_internals> server_;
   http_limits limits_;  // limits for the current request
   boost::beast::flat_buffer buffer_;
+  // Bytes of the request that is being read, apart from buffer_.
+  std::size_t reading_bytes_ = 0;
+  // buffer_ and reading_bytes_; gives way while a request is being read.
+  memory_account input_account_;
+  // The requests and responses in queue_; gives way while a response is being
+  // written.
+  memory_account queue_account_;
   response_queue queue_;
   std::optional<outgoing_response> outgoing_;  // the first one of the queue
   // Cancelled to resume the reader: input arrived, a response was written, or a
@@ -167,6 +187,8 @@
   bool last_runs_alone_ = false;          // the last request runs alone
   bool closing_ = false;                  // a response asked for the close
   bool response_closed_ = false;          // a response announced the close
+  bool input_refused_ = false;            // the request that is read gives way
+  bool abandoned_ = false;      // the response that is written gives way
   bool caller_closed_ = false;  // the caller takes no further responses
 };
 
--- a/net/http_session.cc
+++ b/net/http_session.cc
@@ -27,7 +27,11 @@
 constexpr auto kNothrowAwaitable = asio::as_tuple(asio::use_awaitable);
 // Most bytes that are received at once.
 constexpr std::size_t kMaxReadBytes = std::size_t{64} * 1024;
+// A response up to this size is written even if no memory is left for it.
+constexpr std::size_t kMaxKeptResponseBytes = std::size_t{128} * 1024;
 constexpr std::size_t kNoLimit = std::numeric_limits<std::size_t>::max();
+// Time after which the reader asks for memory again while others give way.
+constexpr auto kMemoryRetryDelay = std::chrono::milliseconds(5);
 
 // Turns a target in absolute form, which names the host too, into path and
 // query. That host replaces the one of the field.
@@ -77,6 +81,15 @@
           .close = true};
 }
 
+// The size that a buffer grows to when `room` bytes are added.
+std::size_t GrownCapacity(const beast::flat_buffer& buffer, std::size_t room) {
+  const std::size_t needed = buffer.size() + room;
+  if (needed <= buffer.capacity()) {
+    return buffer.capacity();
+  }
+  return std::min(buffer.max_size(), std::max(needed, 2 * buffer.size()));
+}
+
 // Why a request is rejected whose reading ended with `error`.
 http_rejection ClassifyReadError(const beast::error_code& error) {
   http_rejection rejection{.status = 400,
@@ -94,6 +107,9 @@
   } else if (error == http::error::buffer_overflow) {
     rejection.status = 503;
     rejection.cause = rejection_cause::kFramingTooLarge;
+  } else if (error == beast::errc::not_enough_memory) {
+    rejection.status = 503;
+    rejection.cause = rejection_cause::kNoMemory;
   }
   return rejection;
 }
@@ -110,6 +126,8 @@
       return "The framing of the request body is too large.";
     case rejection_cause::kTooSlow:
       return "The request did not arrive in time.";
+    case rejection_cause::kNoMemory:
+      return "Too many bytes of requests arrive at the same time.";
     case rejection_cause::kMalformed:
       break;
   }
@@ -137,6 +155,7 @@
 
 asio::awaitable<void> http_session::Run() {
   boost::system::error_code ignored;
+  SetOnShed();
   socket_.non_blocking(true, ignored);
   co_await ReadRequests();
   co_await AwaitTurn();
@@ -161,8 +180,19 @@
 // Receives what has arrived. Without input, waits for it until `deadline` or
 // until the reader is woken. Sets `caller_closed_` at the end of the input.
 asio::awaitable<void> http_session::Receive(time_point deadline) {
-  const std::size_t room =
-      caller_closed_ ? 0 : beast::read_size(buffer_, kMaxReadBytes);
+  std::size_t room = caller_closed_ || input_refused_
+                         ? 0
+                         : beast::read_size(buffer_, kMaxReadBytes);
+  if (readable_ && room > 0) {
+    const memory_grant grant = TryHoldInput(room);
+    if (grant == memory_grant::kRefused && EndRefusedInput()) {
+      co_return;
+    }
+    if (grant == memory_grant::kWait) {
+      deadline = std::min(deadline, clock::now() + kMemoryRetryDelay);
+    }
+    room = grant == memory_grant::kGranted ? room : 0;
+  }
   if (readable_ && room > 0) {
     beast::error_code error;
     const std::size_t size = socket_.read_some(buffer_.prepare(room), error);
@@ -205,13 +235,14 @@
 }
 
 // Reads up to the end of the head or of the body. Fails with timed_out after
-// `deadline`, and with buffer_overflow after `max_received` bytes or if the
-// buffer is full.
+// `deadline`, with buffer_overflow after `max_received` bytes or if the buffer
+// is full, and with not_enough_memory if the request gives way to others.
 asio::awaitable<beast::error_code> http_session::Read(
     request_parser& parser,
     message_part until,
     time_point deadline,
     std::size_t max_received) {
+  const std::size_t head_bytes = reading_bytes_;
   std::size_t received = 0;
   while (!(until == message_part::kHead ? parser.is_header_done()
                                         : parser.is_done())) {
@@ -222,6 +253,9 @@
     }
     buffer_.consume(used);
     received += used;
+    reading_bytes_ = until == message_part::kHead
+                         ? received
+                         : head_bytes + parser.get().body().size();
     if (received > max_received) {
       co_return http::error::buffer_overflow;
     }
@@ -236,6 +270,9 @@
       if (caller_closed_) {
         co_return asio::error::eof;
       }
+      if (input_refused_) {
+        co_return make_error_code(beast::errc::not_enough_memory);
+      }
       if (clock::now() >= deadline) {
         co_return asio::error::timed_out;
       }
@@ -248,6 +285,114 @@
   co_return beast::error_code();
 }
 
+// ---------------------------------------------------------------------------
+// Memory
+// ---------------------------------------------------------------------------
+
+void http_session::SetOnShed() {
+  const auto post = [this](void (http_session::*handler)()) {
+    return
+        [weak = weak_from_this(), executor = socket_.get_executor(), handler] {
+          asio::post(executor, [weak, handler] {
+            if (const std::shared_ptr<http_session> self = weak.lock()) {
+              (self.get()->*handler)();
+            }
+          });
+        };
+  };
+  input_account_.SetOnShed(post(&http_session::OnInputShed));
+  queue_account_.SetOnShed(post(&http_session::OnQueueShed));
+}
+
+// Asks for memory to receive `room` bytes.
+memory_grant http_session::TryHoldInput(std::size_t room) {
+  const std::size_t parsed = reading_request_ ? room : 0;
+  return input_account_.TryHold(GrownCapacity(buffer_, room) + reading_bytes_ +
+                                parsed);
+}
+
+// The request that is being read gives way. Without one, a connection that has
+// pending requests is not read until one of them is answered, and any other
+// connection is closed. False in the second case.
+bool http_session::EndRefusedInput() {
+  if (reading_request_) {
+    input_refused_ = true;
+  } else if (queue_.empty()) {
+    OnCallerClosed();
+  }
+  return input_refused_ || caller_closed_;
+}
+
+void http_session::OnInputShed() {
+  if (reading_request_ && input_account_.GivesWay()) {
+    input_refused_ = true;
+    reader_wakeup_.cancel();
+  }
+}
+
+void http_session::OnQueueShed() {
+  if (queue_account_.GivesWay()) {
+    Abandon();
+  }
+}
+
+// Counts the buffer alone.
+void http_session::HoldBuffer() {
+  input_account_.Hold(buffer_.capacity());
+}
+
+// Waits for the memory for the copies of a body that was read. Unfinished
+// requests give way to a whole one. Fails with not_enough_memory if that does
+// not suffice, and with timed_out after `deadline`.
+asio::awaitable<beast::error_code> http_session::HoldCopies(
+    std::size_t body_bytes,
+    time_point deadline) {
+  input_account_.End();
+  const std::size_t copies = body_bytes * (kBodyCopies - 1);
+  while (!input_refused_) {
+    const memory_grant grant =
+        input_account_.TryHold(buffer_.capacity() + reading_bytes_ + copies);
+    if (grant == memory_grant::kGranted) {
+      co_return beast::error_code();
+    }
+    if (grant == memory_grant::kRefused) {
+      break;
+    }
+    if (clock::now() >= deadline) {
+      co_return asio::error::timed_out;
+    }
+    reader_wakeup_.expires_after(kMemoryRetryDelay);
+    co_await reader_wakeup_.async_wait(kNothrowAwaitable);
+  }
+  co_return make_error_code(beast::errc::not_enough_memory);
+}
+
+// Counts the responses. A large one that finds no memory is given up, with its
+// connection: its bytes are there already, and nobody may ever read them.
+bool http_session::HoldResponse() {
+  const std::size_t bytes = queue_.BudgetBytes();
+  if (queue_account_.TryHold(bytes) != memory_grant::kRefused ||
+      bytes <= kMaxKeptResponseBytes) {
+    queue_account_.Hold(bytes);
+    return true;
+  }
+  Abandon();
+  return false;
+}
+
+// Closes the connection and drops its requests and responses.
+void http_session::Abandon() {
+  abandoned_ = true;
+  if (writing_) {
+    beast::error_code ignored;
+    socket_.cancel(ignored);
+    return;
+  }
+  OnCallerClosed();
+  queue_.Clear();
+  queue_account_.Hold(0);
+}
+
 // ---------------------------------------------------------------------------
 // Requests
 // ---------------------------------------------------------------------------
@@ -257,6 +402,10 @@
   while (reads_on) {
     reads_on = co_await ReadRequest();
     reading_request_ = false;
+    reading_bytes_ = 0;
+    input_refused_ = false;
+    input_account_.End();
+    HoldBuffer();
   }
   reading_ended_ = true;
   WriteNext();
@@ -323,6 +472,7 @@
     co_return false;
   }
   reading_request_ = true;
+  input_account_.Begin();
   incoming_request incoming{.arrived_at = received_at_};
   const bool head_read = co_await ReadHead(incoming);
   if (!head_read) {
@@ -405,10 +555,16 @@
     co_await WriteContinue(parser.get().version());
   }
   parser.eager(true);
-  ReserveBodyBuffer(buffer_, parser.content_length());
-  const beast::error_code error = co_await Read(
-      parser, message_part::kBody, clock::now() + limits_.idle_timeout,
-      MaxReceived(limits_.max_body_bytes));
+  const time_point deadline = clock::now() + limits_.idle_timeout;
+  const std::size_t buffer_bytes = BodyBufferBytes(parser.content_length());
+  if (TryHoldInput(buffer_bytes) == memory_grant::kGranted) {
+    buffer_.reserve(buffer_bytes);
+  }
+  beast::error_code error = co_await Read(parser, message_part::kBody, deadline,
+                                          MaxReceived(limits_.max_body_bytes));
+  if (!error) {
+    error = co_await HoldCopies(parser.get().body().size(), deadline);
+  }
   if (error) {
     RejectUnlessClosed(ClassifyReadError(error), incoming);
   }
@@ -441,6 +597,9 @@
       server_->handler_.OnRejected(rejection);
   if (!response) {
     response = BuildNotRunResponse(rejection.status, RejectionText(rejection));
+    if (rejection.cause == rejection_cause::kNoMemory) {
+      response->headers.push_back({.name = "retry-after", .value = "1"});
+    }
   }
   reading_ended_ = true;
   Respond(incoming, std::move(*response));
@@ -476,13 +635,18 @@
   const std::uint64_t number =
       queue_.Add({.version = message.version(),
                   .head_only = message.method() == http::verb::head,
-                  .held_bytes = request.body.size()});
+                  .held_bytes = request.body.size(),
+                  .budget_bytes = reading_bytes_ +
+                                  request.body.size() * (kBodyCopies - 1)});
+  queue_account_.Hold(queue_.BudgetBytes());
   const auto self = shared_from_this();
   response_callback reply = [self, number](http_response response) {
     asio::post(self->socket_.get_executor(),
                [self, number, response = std::move(response)]() mutable {
                  self->queue_.SetResponse(number, std::move(response));
-                 self->WriteNext();
+                 if (self->HoldResponse()) {
+                   self->WriteNext();
+                 }
                });
   };
   queue_.SetAbort(number, server_->handler_.OnRequest(std::move(request),
@@ -501,6 +665,7 @@
     return;
   }
   writing_ = true;
+  queue_account_.Begin();
   closing_ |= next->response->close;
   // The request that is being read gets a response too.
   const bool last = queue_.size() == 1 && !reading_request_;
@@ -526,10 +691,12 @@
   outgoing_.reset();
   queue_.PopFront();
   idle_since_ = clock::now();
-  if (error) {
+  if (error || abandoned_) {
     OnCallerClosed();
     queue_.Clear();
   }
+  queue_account_.End();
+  queue_account_.Hold(queue_.BudgetBytes());
   WriteNext();
   reader_wakeup_.cancel();
 }
@@ -557,6 +724,7 @@
   while (!caller_closed_ && discarded < kMaxDiscardedBytes &&
          clock::now() < deadline) {
     buffer_.clear();
+    buffer_.shrink_to_fit();
     co_await Receive(deadline);
     discarded += buffer_.size();
   }
--- a/net/net.h
+++ b/net/net.h
@@ -35,6 +35,8 @@
 
 namespace asio = boost::asio;
 
+class memory_budget;
+
 // Error of this layer: an address that is not valid or could not be bound.
 struct net_error {
   std::string what;  // names the address, the port and the system error
@@ -93,6 +95,8 @@
   // peer's own address. Called with the mutex of the mesh held, so it must not
   // call the mesh.
   std::function<host_address(const host_address&)> resolve;
+  // Limits the bytes of calls and answers; null: no limit.
+  std::shared_ptr<memory_budget> memory;
 };
 
 // Receives messages and the state of the outgoing streams. Called on the
@@ -102,6 +106,10 @@
   virtual ~mesh_listener() = default;
   // `from` is the peer's own address, as stated in its hello.
   virtual void OnMessage(const host_address& from, any_message message) = 0;
+  // A call of the peer was not decoded, since the memory budget is used up. It
+  // has not run and never will.
+  virtual void OnCallDropped(const host_address& /*from*/,
+                             const call_id& /*id*/) {}
   // The outgoing stream to the peer is open and the peer's hello has arrived.
   virtual void OnLinkUp(const host_address& peer,
                         std::uint64_t incarnation) = 0;
@@ -220,11 +228,12 @@
   kTooManyFields,
   kBodyTooLarge,
   kFramingTooLarge,  // what surrounds the content of a chunked body
-  kTooSlow
+  kTooSlow,
+  kNoMemory  // the memory budget of the process is used up
 };
-inline constexpr std::array<std::string_view, 6> kRejectionCauseNames = {
-    "malformed",      "head_too_large",    "too_many_fields",
-    "body_too_large", "framing_too_large", "too_slow"};
+inline constexpr std::array<std::string_view, 7> kRejectionCauseNames = {
+    "malformed",         "head_too_large", "too_many_fields", "body_too_large",
+    "framing_too_large", "too_slow",       "no_memory"};
 constexpr std::string_view NameOf(rejection_cause cause) {
   return kRejectionCauseNames[static_cast<std::size_t>(cause)];
 }
@@ -274,6 +283,8 @@
   std::size_t max_pipelined_bytes = std::size_t{1} << 20;
   // Called for each request, so that new limits take effect with the next one.
   std::function<http_limits()> limits = [] { return http_limits(); };
+  // Limits the bytes of requests and responses; null: no limit.
+  std::shared_ptr<memory_budget> memory;
 };
 
 class http_server_internals;
--- a/net/peer_mesh.cc
+++ b/net/peer_mesh.cc
@@ -19,6 +19,9 @@
 namespace {
 
 constexpr auto kNothrowAwaitable = asio::as_tuple(asio::use_awaitable);
+// Bytes of unread input that the system keeps for one stream. The link between
+// two regions carries 60 Mbit/s with a round trip of 24 ms: 180,000 bytes.
+constexpr int kPeerReceiveBytes = 256 * 1024;
 // Delay after an accept that failed.
 constexpr duration kAcceptRetryDelay = std::chrono::milliseconds(10);
 
@@ -63,6 +66,10 @@
                const link_hello& hello) override;
   void OnMessage(const std::shared_ptr<stream_link>& link,
                  any_message message) override;
+  void OnCallDropped(const std::shared_ptr<stream_link>& link,
+                     const call_id& id) override {
+    listener_.OnCallDropped(link->peer, id);
+  }
   void OnPeerStops(const std::shared_ptr<stream_link>& link) override;
   void OnBadFrame() override { ++counters_.bad_frames; }
   void OnClosed(const std::shared_ptr<stream_link>& link) override;
@@ -118,6 +125,11 @@
     acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
     acceptor_.bind(tcp::endpoint(address, options_.port), error);
   }
+  if (!error && options_.memory != nullptr) {
+    // The accepted sockets inherit it.
+    acceptor_.set_option(
+        asio::socket_base::receive_buffer_size(kPeerReceiveBytes), error);
+  }
   if (!error) {
     acceptor_.listen(asio::socket_base::max_listen_connections, error);
   }
@@ -198,6 +210,10 @@
   socket.open(tcp::v4(), error);
   const auto own_address = asio::ip::make_address_v4(options_.address, error);
   socket.bind(tcp::endpoint(own_address, 0), error);
+  if (options_.memory != nullptr) {
+    socket.set_option(asio::socket_base::receive_buffer_size(kPeerReceiveBytes),
+                      error);
+  }
   auto link = std::make_shared<stream_link>(std::move(socket), options_, *this);
   link->outgoing = true;
   link->peer = peer;
--- a/net/read_body.h
+++ b/net/read_body.h
@@ -29,15 +29,14 @@
   return 2 * max_body_bytes + kMaxBufferedBytes;
 }
 
-// Makes room for a body. Without it Beast reads 512 bytes at a time into a
-// buffer that has just grown for a head, which is 128 system calls for a body
-// of 64 KB. `length` is the content length, if stated.
-inline void ReserveBodyBuffer(boost::beast::flat_buffer& buffer,
-                              const boost::optional<std::uint64_t>& length) {
+// The buffer to reserve for a body. Without it Beast reads 512 bytes at a time
+// into a buffer that has just grown for a head, which is 128 system calls for a
+// body of 64 KB. `length` is the content length, if stated.
+inline std::size_t BodyBufferBytes(
+    const boost::optional<std::uint64_t>& length) {
   constexpr std::uint64_t kMaxReservedBytes = std::uint64_t{64} * 1024;
   constexpr std::uint64_t kBytesForUnknownLength = 4096;
-  buffer.reserve(
-      std::min(length.value_or(kBytesForUnknownLength), kMaxReservedBytes));
+  return std::min(length.value_or(kBytesForUnknownLength), kMaxReservedBytes);
 }
 
 // Frees a large buffer, so that idle connections hold little memory.
@@ -74,7 +73,7 @@
     byte_budget* budget) {
   namespace http = boost::beast::http;
   namespace asio = boost::asio;
-  ReserveBodyBuffer(buffer, parser.content_length());
+  buffer.reserve(BodyBufferBytes(parser.content_length()));
   const std::size_t max_received = MaxReceived(max_body_bytes);
   boost::beast::error_code result;
   std::size_t received = 0;
--- a/net/response_queue.cc
+++ b/net/response_queue.cc
@@ -4,6 +4,18 @@
 
 namespace parsleyyard {
 
+namespace {
+
+std::size_t BytesOf(const std::vector<call_header>& headers) {
+  std::size_t bytes = 0;
+  for (const call_header& header : headers) {
+    bytes += header.name.size() + header.value.size();
+  }
+  return bytes;
+}
+
+}  // namespace
+
 std::uint64_t response_queue::Add(pending_response added) {
   added.number = ++last_number_;
   pending_.push_back(std::move(added));
@@ -27,6 +39,7 @@
 void response_queue::SetResponse(std::uint64_t number, http_response response) {
   if (pending_response* pending = Find(number)) {
     pending->held_bytes = response.body.size();
+    pending->budget_bytes = BytesOf(response.headers) + response.body.size();
     pending->response = std::move(response);
   }
 }
@@ -60,4 +73,12 @@
   return bytes;
 }
 
+std::size_t response_queue::BudgetBytes() const {
+  std::size_t bytes = 0;
+  for (const pending_response& each : pending_) {
+    bytes += each.budget_bytes;
+  }
+  return bytes;
+}
+
 }  // namespace parsleyyard
--- a/net/response_queue.h
+++ b/net/response_queue.h
@@ -18,11 +18,14 @@
 
 // A request that was read and whose response is not written yet.
 struct pending_response {
-  std::uint64_t number = 0;     // set by the queue
-  unsigned version = 11;        // HTTP version of the request
-  bool head_only = false;       // the response is written without its body
-  std::size_t held_bytes = 0;   // body of the request or response
-  std::function<void()> abort;  // ends the request; may be empty
+  std::uint64_t number = 0;    // set by the queue
+  unsigned version = 11;       // HTTP version of the request
+  bool head_only = false;      // the response is written without its body
+  std::size_t held_bytes = 0;  // body of the request or response
+  // What the request or response counts in the memory budget, with its head and
+  // copies.
+  std::size_t budget_bytes = 0;
+  std::function<void()> abort;            // ends the request; may be empty
   std::optional<http_response> response;  // empty: not there yet
 };
 
@@ -49,6 +52,7 @@
   bool empty() const { return pending_.empty(); }
   std::size_t size() const { return pending_.size(); }
   std::size_t HeldBytes() const;
+  std::size_t BudgetBytes() const;
 
  private:
   pending_response* Find(std::uint64_t number);
--- a/net/stream_link.cc
+++ b/net/stream_link.cc
@@ -20,6 +20,25 @@
 constexpr int kAcceptedIdleFactor = 2;
 // Capacity above which an empty receive buffer is freed.
 constexpr std::size_t kMaxKeptBytes = std::size_t{64} * 1024;
+// Most bytes received at once, usually and within a long frame.
+constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
+constexpr std::size_t kLongReadBytes = std::size_t{64} * 1024;
+// A message that takes fewer bytes is handled even if no memory is left for it.
+constexpr std::size_t kMaxHandledBytes = std::size_t{64} * 1024;
+// Copies of a message while it is decoded: the uncompressed frame and the
+// message.
+constexpr std::size_t kDecodedCopies = 2;
+
+// Bytes to count for small ones, so that the usual traffic does not change the
+// count.
+std::size_t RoundUp(std::size_t bytes) {
+  return std::max(bytes, kReadBytes);
+}
+
+bool CarriesCall(std::string_view frame) {
+  return frame.size() >= kFrameHeaderBytes &&
+         TypeOf(frame) != frame_type::kOther;
+}
 
 // Converts a result to an optional. Which error of the wire layer occurred does
 // not matter, since each one ends the stream.
@@ -43,11 +62,21 @@
       options_(options),
       listener_(listener),
       liveness_timer_(socket_.get_executor()),
+      input_account_(options.memory),
+      answers_account_(options.memory),
       sent_at_(std::chrono::steady_clock::now()),
       received_at_(sent_at_) {}
 
 void stream_link::Start(std::optional<tcp::endpoint> target) {
   auto self = shared_from_this();
+  input_account_.SetOnShed(
+      [weak = weak_from_this(), executor = socket_.get_executor()] {
+        asio::post(executor, [weak] {
+          if (const std::shared_ptr<stream_link> link = weak.lock()) {
+            link->OnInputShed();
+          }
+        });
+      });
   asio::co_spawn(
       socket_.get_executor(),
       [self, target]() -> asio::awaitable<void> { co_await self->Run(target); },
@@ -82,20 +111,19 @@
 
 // Reads until the stream ends. False if a frame was rejected.
 asio::awaitable<bool> stream_link::ReadFrames() {
-  constexpr std::size_t kMinReadBytes = std::size_t{16} * 1024;
-  std::string received;
+  std::string input;
   while (!closed_) {
-    const std::size_t old_size = received.size();
-    received.resize(old_size + std::max(kMinReadBytes, missing_bytes_));
-    auto [error, size] = co_await socket_.async_read_some(
-        asio::buffer(received) + old_size, kNothrowAwaitable);
-    received.resize(old_size + size);
+    const bool long_frame =
+        std::max(missing_bytes_, discarded_bytes_) > kReadBytes;
+    input.resize(long_frame ? kLongReadBytes : kReadBytes);
+    auto [error, size] = co_await socket_.async_read_some(asio::buffer(input),
+                                                          kNothrowAwaitable);
     if (error) {
       break;
     }
     received_at_ = std::chrono::steady_clock::now();
     awaiting_probe_reply_ = false;
-    if (!HandleFrames(received)) {
+    if (!TakeInput(std::string_view(input).substr(0, size))) {
       co_return false;
     }
   }
@@ -115,13 +143,37 @@
   }
 }
 
-// Handles the complete frames at the front of `received` and removes them.
-// False if one of them is rejected.
-bool stream_link::HandleFrames(std::string& received) {
+// Handles the complete frames among what was received. False if one of them is
+// rejected.
+bool stream_link::TakeInput(std::string_view input) {
+  while (true) {
+    const std::size_t discarded = std::min(discarded_bytes_, input.size());
+    discarded_bytes_ -= discarded;
+    input.remove_prefix(discarded);
+    if (input.empty()) {
+      return true;
+    }
+    if (HoldInput(received_.size() + input.size())) {
+      break;
+    }
+    if (!DropUnfinishedFrame()) {
+      return false;
+    }
+  }
+  if (missing_bytes_ > input.size()) {
+    received_.reserve(received_.size() + missing_bytes_);
+  }
+  received_.append(input);
+  return HandleFrames();
+}
+
+// Handles the complete frames at the front of received_ and removes them. False
+// if one of them is rejected.
+bool stream_link::HandleFrames() {
   std::size_t offset = 0;
   missing_bytes_ = 0;
-  while (received.size() - offset >= kFrameHeaderBytes && !closed_) {
-    const std::string_view rest = std::string_view(received).substr(offset);
+  while (received_.size() - offset >= kFrameHeaderBytes && !closed_) {
+    const std::string_view rest = std::string_view(received_).substr(offset);
     const auto length =
         ToOptional<std::size_t>([&] { return BodyLength(rest); });
     if (!length) {
@@ -132,18 +184,118 @@
       missing_bytes_ = frame_bytes - rest.size();
       break;
     }
-    if (!HandleFrame(rest.substr(0, frame_bytes))) {
+    const std::string_view frame = rest.substr(0, frame_bytes);
+    if (!(HoldDecoded(frame) ? HandleFrame(frame) : DropFrame(frame))) {
       return false;
     }
     offset += frame_bytes;
   }
-  received.erase(0, offset);
-  if (received.empty() && received.capacity() > kMaxKeptBytes) {
-    received.shrink_to_fit();
+  received_.erase(0, offset);
+  if (received_.empty() && received_.capacity() > kMaxKeptBytes) {
+    received_.shrink_to_fit();
+  }
+  HoldRest();
+  return true;
+}
+
+// ---------------------------------------------------------------------------
+// Memory
+// ---------------------------------------------------------------------------
+
+// Asks for memory to receive `bytes` in all. False if the unfinished frame is
+// to be dropped. Only a long frame of a call can be: what others give way for
+// it is there at once or a moment later.
+bool stream_link::HoldInput(std::size_t bytes) {
+  if (received_.size() >= kCallIdPrefixBytes && CarriesCall(received_)) {
+    input_account_.Begin();
+    if (input_account_.TryHold(bytes) == memory_grant::kRefused) {
+      return false;
+    }
+  }
+  input_account_.Hold(RoundUp(bytes));
+  return true;
+}
+
+// Asks for memory to decode a frame. False if it is to be dropped.
+bool stream_link::HoldDecoded(std::string_view frame) {
+  const std::size_t plain = PlainBodyLength(frame);
+  if (plain <= kMaxHandledBytes || !CarriesCall(frame)) {
+    return true;
+  }
+  const std::size_t bytes = received_.size() + plain * kDecodedCopies;
+  if (input_account_.TryHold(bytes) == memory_grant::kRefused) {
+    return false;
+  }
+  input_account_.Hold(bytes);
+  return true;
+}
+
+// Counts what is left after the complete frames were handled.
+void stream_link::HoldRest() {
+  if (received_.size() < kCallIdPrefixBytes) {
+    input_account_.End();
+  }
+  input_account_.Hold(RoundUp(received_.size()));
+}
+
+// Drops the frame that is being received and discards its rest when it comes.
+// False if its call can't be told.
+bool stream_link::DropUnfinishedFrame() {
+  if (!DropFrame(received_)) {
+    return false;
+  }
+  discarded_bytes_ = missing_bytes_;
+  missing_bytes_ = 0;
+  received_.clear();
+  received_.shrink_to_fit();
+  HoldRest();
+  return true;
+}
+
+// Reports a call that is not handled, from the start of its frame. An answer is
+// replaced by one that states nothing. False if the call can't be told.
+bool stream_link::DropFrame(std::string_view frame) {
+  const auto id = ToOptional<call_id>([&] { return DecodeCallId(frame); });
+  if (!id || !hello_received_) {
+    return false;
+  }
+  if (TypeOf(frame) == frame_type::kCall) {
+    listener_.OnCallDropped(shared_from_this(), *id);
+  } else {
+    listener_.OnMessage(shared_from_this(),
+                        call_answer{.id = *id,
+                                    .outcome = call_outcome::kUnknown,
+                                    .reason = refusal_reason::kBadAnswer,
+                                    .reached_instance = true});
   }
   return true;
 }
 
+// Counts the answers that wait for a peer that is slow to read them. What an
+// outgoing stream carries counts where it comes from. False if there is no
+// memory for a long answer of `added` bytes.
+bool stream_link::HoldAnswers(std::size_t added) {
+  if (outgoing) {
+    return true;
+  }
+  const std::size_t bytes = RoundUp(queued_bytes_);
+  const bool refused =
+      answers_account_.TryHold(bytes) == memory_grant::kRefused &&
+      added > kMaxHandledBytes;
+  answers_account_.Hold(bytes);
+  return !refused;
+}
+
+void stream_link::OnInputShed() {
+  if (!input_account_.GivesWay() || closed_) {
+    return;
+  }
+  if (!DropUnfinishedFrame()) {
+    listener_.OnBadFrame();
+    Close();
+  }
+}
+
 // Handles one frame. False if it cannot be decoded, if the first message is not
 // a hello, or if a later one is.
 bool stream_link::HandleFrame(std::string_view frame) {
@@ -186,7 +338,8 @@
       return;
     }
     self->queued_bytes_ += frame->size();
-    if (self->queued_bytes_ > self->options_.max_queued_bytes) {
+    if (self->queued_bytes_ > self->options_.max_queued_bytes ||
+        !self->HoldAnswers(frame->size())) {
       self->Close();
       return;
     }
@@ -225,6 +378,7 @@
       queued_bytes_ -= frame->size();
       queue_.pop_front();
     }
+    HoldAnswers(0);
     frames_in_write_ = 0;
   }
   writing_ = false;
--- a/net/stream_link.h
+++ b/net/stream_link.h
@@ -3,6 +3,7 @@
 #ifndef PARSLEYYARD_NET_STREAM_LINK_H_
 #define PARSLEYYARD_NET_STREAM_LINK_H_
 
+#include "net/memory_budget.h"
 #include "net/net.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -30,6 +31,10 @@
   // Any later message. Probes are handled by the stream itself.
   virtual void OnMessage(const std::shared_ptr<stream_link>& link,
                          any_message message) = 0;
+  // A call of the peer was dropped before it was decoded, since the memory
+  // budget is used up. It will not run.
+  virtual void OnCallDropped(const std::shared_ptr<stream_link>& link,
+                             const call_id& id) = 0;
   // The peer is about to stop and gets nothing more on this stream. Called on
   // outgoing streams.
   virtual void OnPeerStops(const std::shared_ptr<stream_link>& link) = 0;
@@ -66,8 +71,16 @@
  private:
   asio::awaitable<void> Run(std::optional<tcp::endpoint> target);
   asio::awaitable<bool> ReadFrames();
-  bool HandleFrames(std::string& received);
+  bool TakeInput(std::string_view input);
+  bool HandleFrames();
   bool HandleFrame(std::string_view frame);
+  bool HoldInput(std::size_t bytes);
+  bool HoldDecoded(std::string_view frame);
+  void HoldRest();
+  bool DropUnfinishedFrame();
+  bool DropFrame(std::string_view frame);
+  void OnInputShed();
+  bool HoldAnswers(std::size_t added);
   void SendMessage(const any_message& message);
   asio::awaitable<void> WriteQueue();
   asio::awaitable<void> AwaitWrites();
@@ -91,7 +104,11 @@
   bool awaiting_probe_reply_ = false;
   // Number of frames at the front of queue_ that are being written.
   std::ptrdiff_t frames_in_write_ = 0;
-  std::size_t missing_bytes_ = 0;  // rest of a partly received frame
+  std::string received_;             // frames that are not handled yet
+  std::size_t missing_bytes_ = 0;    // rest of a partly received frame
+  std::size_t discarded_bytes_ = 0;  // rest of a dropped frame
+  memory_account input_account_;     // received_, and what is being decoded
+  memory_account answers_account_;   // queue_ of a stream that carries answers
   std::chrono::steady_clock::time_point sent_at_;      // last completed write
   std::chrono::steady_clock::time_point received_at_;  // last received data
   std::chrono::steady_clock::time_point probe_sent_at_;
--- a/tests/wire_settings_test.cc
+++ b/tests/wire_settings_test.cc
@@ -71,6 +71,31 @@
   EXPECT_EQ(ErrorOf(frame), "too long");
 }
 
+// A call that is dropped must be named to its sender, whatever of it arrived.
+TEST(Wire, DecodesTheCallIdFromTheStartOfAFrame) {
+  std::mt19937_64 random(3);
+  std::string incompressible(1 << 20, '\0');
+  for (char& byte : incompressible) {
+    byte = static_cast<char>(random());
+  }
+  std::string mixed = incompressible + std::string(1 << 20, 'x');
+  for (const std::string& body :
+       {std::string(1 << 20, 'x'), incompressible, mixed, std::string()}) {
+    const std::string frame = Encode(
+        call_request{.id = {.origin = 77, .sequence = 99}, .body = body});
+    const bool equal = leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+          BOOST_LEAF_AUTO(id, DecodeCallId(std::string_view(frame).substr(
+                                  0, kCallIdPrefixBytes)));
+          return id == call_id{.origin = 77, .sequence = 99};
+        },
+        [] { return false; });
+    EXPECT_TRUE(equal) << body.size();
+    EXPECT_EQ(TypeOf(frame), frame_type::kCall);
+    EXPECT_GE(PlainBodyLength(frame), body.size());
+  }
+}
+
 TEST(Wire, TellsLeftOverBytesFromMissingOnes) {
   const std::string frame = ValidFrame();
   EXPECT_EQ(ErrorOf(frame.substr(0, frame.size() - 1)), "too short");
--- a/wire/wire.cc
+++ b/wire/wire.cc
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <memory>
 #include <utility>
 
 namespace parsleyyard {
@@ -100,10 +101,41 @@
   return message;
 }
 
+// Bytes of an encoded call_id and of the archive's byte order before it.
+constexpr std::size_t kCallIdBytes = 17;
+
+// Returns the first bytes of a compressed body; fewer if it is damaged.
+std::string DecompressStart(std::string_view body, std::size_t size) {
+  std::string start(size, '\0');
+  const std::unique_ptr<ZSTD_DCtx, std::size_t (*)(ZSTD_DCtx*)> context(
+      ZSTD_createDCtx(), ZSTD_freeDCtx);
+  ZSTD_inBuffer in{body.data(), body.size(), 0};
+  ZSTD_outBuffer out{start.data(), start.size(), 0};
+  std::size_t result = 1;
+  while (result != 0 && !ZSTD_isError(result) && out.pos < out.size &&
+         in.pos < in.size) {
+    result = ZSTD_decompressStream(context.get(), &out, &in);
+  }
+  start.resize(out.pos);
+  return start;
+}
+
+// Capacity for the frame of a message, so that a large one is not copied while
+// it grows.
+std::size_t ExpectedFrameBytes(const any_message& message) {
+  constexpr std::size_t kBytesBesideBody = 1024;
+  const auto* call = std::get_if<call_request>(&message);
+  const auto* answer = std::get_if<call_answer>(&message);
+  return kBytesBesideBody + (call != nullptr     ? call->body.size()
+                             : answer != nullptr ? answer->body.size()
+                                                 : 0);
+}
+
 }  // namespace
 
 std::string Encode(const any_message& message) {
   std::string frame(kFrameHeaderBytes, '\0');
+  frame.reserve(ExpectedFrameBytes(message));
   {
     io::stream<io::back_insert_device<std::string>> stream(frame);
     cereal::PortableBinaryOutputArchive archive(stream);
@@ -137,6 +169,48 @@
   return length;
 }
 
+frame_type TypeOf(std::string_view frame) {
+  const int index = load_little_u16(Bytes(frame) + 6) & ~kCompressedFlag;
+  if (index == static_cast<int>(any_message(call_request{}).index())) {
+    return frame_type::kCall;
+  }
+  return index == static_cast<int>(any_message(call_answer{}).index())
+             ? frame_type::kAnswer
+             : frame_type::kOther;
+}
+
+std::size_t PlainBodyLength(std::string_view frame) {
+  const std::string_view body = frame.substr(kFrameHeaderBytes);
+  if ((load_little_u16(Bytes(frame) + 6) & kCompressedFlag) == 0) {
+    return body.size();
+  }
+  const auto size = ZSTD_getFrameContentSize(body.data(), body.size());
+  const bool stated =
+      size != ZSTD_CONTENTSIZE_ERROR && size != ZSTD_CONTENTSIZE_UNKNOWN;
+  return stated ? size : 0;
+}
+
+leaf::result<call_id> DecodeCallId(std::string_view prefix) {
+  if (prefix.size() < kFrameHeaderBytes) {
+    return leaf::new_error(wire_error::kTooShort);
+  }
+  const bool compressed =
+      (load_little_u16(Bytes(prefix) + 6) & kCompressedFlag) != 0;
+  const std::string_view body = prefix.substr(kFrameHeaderBytes);
+  const std::string start = compressed
+                                ? DecompressStart(body, kCallIdBytes)
+                                : std::string(body.substr(0, kCallIdBytes));
+  call_id id;
+  try {
+    io::stream<io::array_source> stream(start.data(), start.size());
+    cereal::PortableBinaryInputArchive archive(stream);
+    archive(id);
+  } catch (const std::exception&) {
+    return leaf::new_error(wire_error::kDamaged);
+  }
+  return id;
+}
+
 leaf::result<any_message> Decode(std::string_view frame) {
   BOOST_LEAF_AUTO(length, BodyLength(frame));
   if (frame.size() != kFrameHeaderBytes + length) {
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -61,6 +61,24 @@
 // header. Fails with kTooShort, kTooLong or kOtherVersion.
 leaf::result<std::size_t> BodyLength(std::string_view header);
 
+// The type of a message, from the header of its frame; at least
+// kFrameHeaderBytes of the frame are needed.
+enum class frame_type : std::uint8_t { kCall, kAnswer, kOther };
+frame_type TypeOf(std::string_view frame);
+
+// Bytes of the body of a complete frame once it is uncompressed. 0 if a
+// compressed body does not state them.
+std::size_t PlainBodyLength(std::string_view frame);
+
+// Bytes of a frame of a call_request or a call_answer that suffice for
+// DecodeCallId(): the header and the first block of a compressed body.
+inline constexpr std::size_t kCallIdPrefixBytes = std::size_t{160} * 1024;
+
+// Decodes the id of a call_request or a call_answer from the first
+// kCallIdPrefixBytes of its frame, or from the whole if it is shorter. Fails
+// with a wire_error.
+leaf::result<call_id> DecodeCallId(std::string_view prefix);
+
 // Decodes one complete frame. Fails with a wire_error.
 leaf::result<any_message> Decode(std::string_view frame);
 
