--- a/daemon/admin_pages.cc
+++ b/daemon/admin_pages.cc
@@ -196,6 +196,15 @@
   add_metric("quota_messages_sent_total", "counter",
              "Requests for tokens, and answers to those of peers.",
              static_cast<double>(quotas.messages_sent));
+  add_metric("memory_limit_bytes", "gauge",
+             "Limit on the bytes of requests and responses.",
+             static_cast<double>(memory_limits_.total));
+  add_metric("memory_held_bytes", "gauge",
+             "Bytes of requests and responses that are held.",
+             static_cast<double>(memory_->held()));
+  add_metric("memory_refusals_total", "counter",
+             "Requests and responses that gave way for lack of memory.",
+             static_cast<double>(memory_->refusals()));
   add_metric("calls_running", "gauge", "Calls in flight at the instance.",
              load.running);
   add_metric("calls_waiting", "gauge", "Calls queued for the instance.",
