End refused and waiting calls early, as not run

Callers saw requests that up to six daemons refused in turn, and 504 for requests that only waited at a target until their deadline: the target's refusal came after it. Their retry-after did not depend on the queues.

A call ends after two refusals for lack of room, with a retry-after at which the instances are expected to have room by the queues and service times they report, spread at random. A call that has not ended shortly before its deadline is recalled (call_cancel, unless_written), so that one that only waits ends as not run while its caller listens; calls without a link end then too.

--- a/calls/call_sender.cc
+++ b/calls/call_sender.cc
@@ -27,6 +27,7 @@
   call.deadline = now + plan.deadline;
   call.objective = now + plan.objective;
   LimitToEnd(call);
+  call.recall_waiting_at = RecallTime(call);
   budget_.OnRequest(plan.service, now);
   StartAttempt(call, refusal_reason::kNoUpstream);
 }
@@ -58,7 +59,7 @@
   if (now >= call.recall_at) {
     return Refuse(call, refusal_reason::kLeaving);
   }
-  if (now + kMinAttemptTime >= call.deadline) {
+  if (call.recalled || now + kMinAttemptTime >= call.deadline) {
     return Refuse(call, refusal_reason::kDeadlinePassed);
   }
   const auto view = view_.Current();
@@ -193,11 +194,25 @@
                                              *view_.Current(), call.plan));
 }
 
+// Returns the time from which a call that still waits at its target can't end
+// by its deadline. The answer of the target must arrive while the caller
+// listens.
+instant sender_internals::RecallTime(const pending_call& call) const {
+  const duration left = call.deadline - clock_.Now();
+  const duration mean_service_time =
+      placement_.MeanServiceTime(*view_.Current(), call.plan);
+  return call.deadline -
+         std::min(std::clamp(mean_service_time, kMinRecallLead, kMaxRecallLead),
+                  left / 4);
+}
+
 // Asks the targets to refuse the attempts that have not started. Their answers
 // end the call, or its deadline does if one is lost.
 void sender_internals::Recall(pending_call& call) {
   call.recalled = true;
-  ReportEvent(call, "recalled", refusal_reason::kLeaving);
+  ReportEvent(call, "recalled",
+              clock_.Now() >= call.recall_at ? refusal_reason::kLeaving
+                                             : refusal_reason::kDeadlinePassed);
   RecallAttempt(call.current);
   if (call.other) {
     RecallAttempt(*call.other);
@@ -239,6 +254,9 @@
           peer,
           {.id = {.origin = options_.incarnation, .sequence = attempt.sequence},
            .deadline_ms = static_cast<std::uint32_t>(left.count() / 1000)});
+      if (call.recalled) {
+        RecallAttempt(attempt);
+      }
     } else if (attempt.life_cycle.state() == call_state::kAttaching) {
       OnUnknownOutcome(call, refusal_reason::kWrongIncarnation);
     }
@@ -313,7 +331,8 @@
   call_attempt& attempt = call.current;
   const call_state state = attempt.life_cycle.state();
   if (state == call_state::kConnecting &&
-      now >= std::min(attempt.connect_deadline, call.recall_at)) {
+      (call.recalled ||
+       now >= std::min(attempt.connect_deadline, call.recall_at))) {
     OnNotRun(call, refusal_reason::kLinkLost, false);
   } else if (state == call_state::kAttaching &&
              now >= attempt.attach_deadline) {
@@ -338,7 +357,8 @@
       OnDeadline(*call);
       continue;
     }
-    if (call != nullptr && now >= call->recall_at && !call->recalled) {
+    if (call != nullptr && !call->recalled &&
+        now >= std::min(call->recall_at, call->recall_waiting_at)) {
       Recall(*call);
     }
     if (call != nullptr) {
--- a/calls/pending_calls.h
+++ b/calls/pending_calls.h
@@ -37,7 +37,8 @@
   instant deadline{};
   instant objective{};
   std::set<host_address> tried_hosts;
-  std::uint32_t attempts = 0;  // targets chosen so far
+  std::uint32_t attempts = 0;           // targets chosen so far
+  std::uint32_t overload_refusals = 0;  // attempts that targets had no room for
   // Number of instances that the ended attempts may have reached.
   std::uint32_t reached_instances = 0;
   call_attempt current;  // the attempt that the latest event was about
@@ -48,6 +49,8 @@
   // The daemon stops: an attempt that starts at its instance later could not
   // end in time.
   instant recall_at = instant::max();
+  // An attempt that still waits at its target then could not end in time.
+  instant recall_waiting_at = instant::max();
   bool recalled = false;  // the targets were told so
   // Error response of an instance, returned if no later attempt succeeds.
   std::optional<call_result> failed_result;
--- a/calls/placement.cc
+++ b/calls/placement.cc
@@ -33,6 +33,8 @@
 // within the time left until the deadline, divided by this. The rest is for the
 // error of the estimate.
 constexpr int kRegionDeadlineDivisor = 2;
+// Share of the spare time of a call that it may wait at a target, as a divisor.
+constexpr int kWaitDivisor = 2;
 // Limits of the time for which a host counts as full. Within them it is the
 // service time of the route, in which some of the host's calls end.
 constexpr duration kMinFullTime = std::chrono::milliseconds(20);
@@ -179,6 +181,26 @@
                                     : kUnreportedServiceTime;
 }
 
+bool placement::IsCurrent(const host_load& load, instant now) {
+  return load.report.limit > 0 && now - load.reported_at < kReportLifetime;
+}
+
+// Returns the number of calls that the instance runs or keeps waiting, as far
+// as this daemon knows.
+std::uint32_t placement::CallsInProgress(const host_load& load, instant now) {
+  return IsCurrent(load, now)
+             ? std::max(load.report.running + load.report.waiting +
+                            load.sent_since_report,
+                        load.outstanding)
+             : load.outstanding;
+}
+
+std::uint32_t placement::LimitOf(const host_load& load,
+                                 const known_instance& target) {
+  return std::max<std::uint32_t>(
+      1, load.report.limit > 0 ? load.report.limit : target.registration.slots);
+}
+
 duration placement::ExpectedLatency(const known_instance& target,
                                     const std::string& route,
                                     std::size_t tier,
@@ -186,15 +208,8 @@
   const auto found = loads_.find(target.registration.host);
   static const host_load kNoLoad;
   const host_load& load = found == loads_.end() ? kNoLoad : found->second;
-  const bool reported = load.report.limit > 0;
-  const bool current = reported && now - load.reported_at < kReportLifetime;
-  const std::uint32_t limit = std::max<std::uint32_t>(
-      1, reported ? load.report.limit : target.registration.slots);
-  const std::uint32_t in_progress =
-      current ? std::max(load.report.running + load.report.waiting +
-                             load.sent_since_report,
-                         load.outstanding)
-              : load.outstanding;
+  const std::uint32_t limit = LimitOf(load, target);
+  const std::uint32_t in_progress = CallsInProgress(load, now);
   const duration service_time = ServiceTime(load, route);
   const duration mean_service_time = ServiceTime(load, "");
   const std::uint32_t ahead =
@@ -204,7 +219,7 @@
   // Instances slow down when most of their slots are in use.
   latency += service_time * std::min(in_progress, limit) / (4 * limit);
   const double rejected_share =
-      current ? load.report.rejected_percent / 100.0 : 0;
+      IsCurrent(load, now) ? load.report.rejected_percent / 100.0 : 0;
   const double failure_share = std::max(load.failure_share, rejected_share);
   latency +=
       std::chrono::duration_cast<duration>(kFailurePenalty * failure_share);
@@ -288,6 +303,55 @@
                          .instance = chosen->target->registration.id};
 }
 
+// A target admits calls whose expected wait is at most half of their spare
+// time, so a new call finds room once the queue is that short.
+duration placement::TimeUntilRoom(const host_load& load,
+                                  const known_instance& target,
+                                  const call_plan& plan,
+                                  instant now) const {
+  const std::uint32_t limit = LimitOf(load, target);
+  const std::uint32_t in_progress = CallsInProgress(load, now);
+  const duration queue_time =
+      in_progress >= limit
+          ? ServiceTime(load, "") * (in_progress - limit + 1) / limit
+          : duration::zero();
+  const duration spare_time = std::max(
+      duration::zero(), plan.objective - ServiceTime(load, plan.route));
+  duration until_room =
+      std::max(duration::zero(), queue_time - spare_time / kWaitDivisor);
+  const auto full_until = load.full_until_by_route.find(plan.route);
+  if (full_until != load.full_until_by_route.end()) {
+    until_room = std::max(until_room, full_until->second - now);
+  }
+  return until_room;
+}
+
+duration placement::TimeUntilRoom(const snapshot& view,
+                                  const call_plan& plan,
+                                  instant now) const {
+  const auto instances = view.by_service.find(plan.service);
+  if (instances == view.by_service.end()) {
+    return duration::zero();
+  }
+  double weighted_us = 0;
+  double weights = 0;
+  for (const known_instance* target : instances->second) {
+    const auto found = loads_.find(target->registration.host);
+    if (found == loads_.end() || found->second.stopping ||
+        !IsEligible(view, plan, *target)) {
+      continue;
+    }
+    const host_load& load = found->second;
+    const double calls_per_us = static_cast<double>(LimitOf(load, *target)) /
+                                ServiceTime(load, plan.route).count();
+    weighted_us +=
+        calls_per_us * TimeUntilRoom(load, *target, plan, now).count();
+    weights += calls_per_us;
+  }
+  return weights > 0 ? duration(duration::rep(weighted_us / weights))
+                     : duration::zero();
+}
+
 duration placement::MeanServiceTime(const snapshot& view,
                                     const call_plan& plan) const {
   const auto instances = view.by_service.find(plan.service);
--- a/calls/placement.h
+++ b/calls/placement.h
@@ -86,6 +86,12 @@
   // Returns the mean service time of such a call over the instances of its
   // service that have reported, or a default if none has.
   duration MeanServiceTime(const snapshot& view, const call_plan& plan) const;
+  // Returns the time until the instances that may run the call are expected to
+  // have room for a new one like it, as a mean weighted by the calls that each
+  // can end in a second. Zero if there is none.
+  duration TimeUntilRoom(const snapshot& view,
+                         const call_plan& plan,
+                         instant now) const;
 
  private:
   // Tiers of distance: own failure domain, own region, another region.
@@ -123,6 +129,14 @@
                                    const call_time& left);
   std::size_t TierOf(const known_instance& target) const;
   duration ServiceTime(const host_load& load, const std::string& route) const;
+  duration TimeUntilRoom(const host_load& load,
+                         const known_instance& target,
+                         const call_plan& plan,
+                         instant now) const;
+  static bool IsCurrent(const host_load& load, instant now);
+  static std::uint32_t CallsInProgress(const host_load& load, instant now);
+  static std::uint32_t LimitOf(const host_load& load,
+                               const known_instance& target);
   duration ExpectedLatency(const known_instance& target,
                            const std::string& route,
                            std::size_t tier,
--- a/calls/sender_internals.h
+++ b/calls/sender_internals.h
@@ -31,6 +31,13 @@
 // the target and for the response to the caller.
 inline constexpr duration kMinRecallTime = std::chrono::milliseconds(300);
 
+// Limits of the time before its deadline at which a call that still waits at
+// its target is recalled. The lower one is the round trip to another region and
+// one tick at either end. Within them it is the mean service time, since a call
+// that starts later than that ends too late.
+inline constexpr duration kMinRecallLead = std::chrono::milliseconds(60);
+inline constexpr duration kMaxRecallLead = std::chrono::milliseconds(90);
+
 // A cancel that waits for the lost link to the target.
 struct owed_cancel {
   host_address host;
@@ -94,11 +101,12 @@
   bool TryAcquireRetry(const pending_call& call, retry_kind kind);
   void CancelAttempt(const pending_call& call, const call_attempt& attempt);
   void LimitToEnd(pending_call& call);
+  instant RecallTime(const pending_call& call) const;
   void Recall(pending_call& call);
   void RecallAttempt(const call_attempt& attempt);
   void Finish(pending_call& call, call_result result);
   void Refuse(pending_call& call, refusal_reason reason);
-  duration DrawRetryAfter(const pending_call& call);
+  duration DrawRetryAfter(const pending_call& call, refusal_reason reason);
   std::size_t DaemonCount() const;
   void ReportEvent(const pending_call& call,
                    std::string_view event,
--- a/calls/sender_outcomes.cc
+++ b/calls/sender_outcomes.cc
@@ -13,6 +13,10 @@
 // Daemons that one call is sent to. More attempts would only keep the caller
 // waiting.
 constexpr std::uint32_t kMaxAttempts = 6;
+// Targets that may refuse one call for lack of room. Each refusal costs the
+// caller time, and a third target is hardly less full than two that were chosen
+// as the best.
+constexpr std::uint32_t kMaxOverloadRefusals = 2;
 // Time for which calls avoid a host whose instance leaves. By then, the view
 // lists the instance as draining, or another one in its place.
 constexpr duration kInstanceLeavingAvoidTime = std::chrono::milliseconds(1500);
@@ -24,6 +28,9 @@
 constexpr unsigned kRetryAfterPercent = 10;
 // Shortest retry-after of a refused call.
 constexpr duration kMinRetryAfter = std::chrono::milliseconds(50);
+// Longest time until expected capacity that a retry-after states, before its
+// random part. Callers don't wait longer than a third of their time.
+constexpr duration kMaxRetryAfter = std::chrono::seconds(2);
 
 bool IsRetryable(refusal_reason reason) {
   return reason != refusal_reason::kDeadlinePassed;
@@ -67,7 +74,8 @@
     placement_.Avoid(host, now + kInstanceLeavingAvoidTime);
   } else if (reason == refusal_reason::kOverloaded) {
     placement_.OnFull(host, call.plan.route, now);
-  } else {
+    ++call.overload_refusals;
+  } else if (!call.recalled) {
     placement_.Avoid(host, now + kFailureAvoidTime);
   }
   placement_.OnOutcome(host, reached_instance);
@@ -84,7 +92,8 @@
     if (!TryAcquireRetry(call, kind)) {
       return Refuse(call, reason);
     }
-  } else if (!IsRetryable(reason) || call.attempts >= kMaxAttempts) {
+  } else if (!IsRetryable(reason) || call.attempts >= kMaxAttempts ||
+             call.overload_refusals >= kMaxOverloadRefusals) {
     return Refuse(call, reason);
   }
   StartAttempt(call, reason);
@@ -132,11 +141,18 @@
 }
 
 // Returns the delay after which a refused caller may retry: by then, a call
-// that runs now should have ended. The random part keeps refused callers from
-// retrying at the same time.
-duration sender_internals::DrawRetryAfter(const pending_call& call) {
-  const duration min_delay =
+// that runs now should have ended, and instances that were full are expected to
+// have room. The random part keeps refused callers from retrying at the same
+// time.
+duration sender_internals::DrawRetryAfter(const pending_call& call,
+                                          refusal_reason reason) {
+  duration min_delay =
       std::max(kMinRetryAfter, call.plan.objective * kRetryAfterPercent / 100);
+  if (reason == refusal_reason::kOverloaded) {
+    const duration until_room =
+        placement_.TimeUntilRoom(*view_.Current(), call.plan, clock_.Now());
+    min_delay = std::max(min_delay, std::min(until_room, kMaxRetryAfter));
+  }
   return random_.Jitter(min_delay, 100);
 }
 
@@ -160,7 +176,7 @@
       call.may_have_run ? call_outcome::kUnknown : call_outcome::kNotRun;
   Finish(call, {.outcome = outcome,
                 .reason = reason,
-                .retry_after = DrawRetryAfter(call)});
+                .retry_after = DrawRetryAfter(call, reason)});
 }
 
 void sender_internals::Finish(pending_call& call, call_result result) {
@@ -181,10 +197,11 @@
                                       refusal_reason reason) {
   const instant now = clock_.Now();
   const duration left = call.deadline - now;
-  const bool may_retry = !call.other &&
-                         call.reached_instances + 1 < call.plan.max_attempts &&
-                         call.attempts < kMaxAttempts &&
-                         left > kMinAttemptTime && now < call.recall_at;
+  const bool may_retry =
+      !call.other && call.reached_instances + 1 < call.plan.max_attempts &&
+      call.attempts < kMaxAttempts &&
+      call.overload_refusals < kMaxOverloadRefusals && !call.recalled &&
+      left > kMinAttemptTime && now < call.recall_at;
   if (!may_retry ||
       !placement_.Choose(*view_.Current(), call.plan,
                          {.objective = left, .deadline = left},
