--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -8,8 +8,8 @@
 
 #include <array>
 #include <deque>
-#include <map>
 #include <iosfwd>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -24,7 +24,7 @@
   std::string service;
   std::string route;
   std::string workspace;  // empty: none, or not known
-  std::string instance;  // id of the instance that answered or was tried last
+  std::string instance;   // id of the instance that answered or was tried last
   std::uint32_t priority = 0;
   call_outcome outcome = call_outcome::kUnknown;
   refusal_reason reason = refusal_reason::kNone;
@@ -69,7 +69,7 @@
       rejection_counts_;  // by status and cause
   std::map<std::pair<std::string, std::uint32_t>,
            std::unique_ptr<latency_histogram>>
-      latency_histograms_;                // by service and priority
+      latency_histograms_;  // by service and priority
 
   void CountWorkspace(const call_record& record);
   void RenderWorkspaces(std::ostream& page) const;
