Ramp up instances that have started or recovered

Callers saw rejections by instances that had just started: the target ran as many calls as the instance has slots, and an instance that is slow after its start tolerates less. A cap or a slow raise would leave a healthy one idle.

The target limits the calls at once from a quarter of the slots, doubles the limit while latency stays flat, and cuts it when latency rises or the instance rejects a call. It begins after a start, a refused connection, an evacuation or a run of rejections, only where the instance states its speed.

--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -25,7 +25,7 @@
   return {
       .running = running_,
       .waiting = static_cast<std::uint32_t>(queue_.size()),
-      .limit = own_instance_.Slots(),
+      .limit = Limit(),
       .service_us = static_cast<std::uint32_t>(watch_.ServiceTime(now).count()),
       .route_us = static_cast<std::uint32_t>(
           route.empty() ? 0 : watch_.ServiceTimeOf(route, now).count()),
@@ -61,8 +61,13 @@
   }
   if (own_instance_.EvacuationEnded()) {
     cold_limiter_.OnEvacuationEnd(now);
+    RequestRampUp(ramp_up_cause::kEvacuationEnd, now);
+  }
+  if (own_instance_.InstanceChanged()) {
+    RequestRampUp(ramp_up_cause::kInstanceStart, now);
   }
   ReportColdLimit(now);
+  UpdateRampUp(now);
 }
 
 void target_internals::ReportColdLimit(instant now) {
@@ -93,7 +98,7 @@
 
 instance_capacity target_internals::Capacity(instant now) const {
   return {.running = running_,
-          .limit = own_instance_.Slots(),
+          .limit = Limit(),
           .service_time = watch_.ServiceTime(now),
           .max_start_rate = cold_limiter_.MaxRate(now)};
 }
@@ -277,5 +282,8 @@
 load_report call_target::Load() const {
   return internals_->Load();
 }
+instance_pace call_target::Pace() const {
+  return internals_->Pace();
+}
 
 }  // namespace parsleyyard
--- a/calls/calls.h
+++ b/calls/calls.h
@@ -322,11 +322,33 @@
   duration since_start{};  // time since the call was started
 };
 
+// Begin or end of the ramp-up of the instance of this host, for the log.
+struct ramp_up_line {
+  bool begins = false;
+  std::string_view cause;   // why the instance has to prove itself
+  std::uint32_t limit = 0;  // limit of concurrent calls from now on
+  std::uint32_t slots = 0;
+  duration took{};  // time since the begin
+};
+
+// Speed and ramp-up of the instance of this host, for metrics.
+struct instance_pace {
+  bool speed_stated = false;   // the responses state the speed
+  bool speed_trusted = false;  // the service times do not contradict it
+  double work_time = 1;        // time that work takes, relative to the usual
+  bool ramping_up = false;
+  std::uint32_t limit = 0;  // limit of concurrent calls
+  std::uint64_t ramp_ups = 0;
+  std::uint64_t raises = 0;  // of the limit
+  std::uint64_t cuts = 0;    // of the limit
+};
+
 // Receives the events of calls and of the instance of this host.
 class target_listener : public call_listener {
  public:
   virtual void OnColdLimit(const cold_limit_line& line) = 0;
   virtual void OnColdRequest(const cold_request_line& line) = 0;
+  virtual void OnRampUp(const ramp_up_line& line) = 0;
 };
 
 struct target_options {
@@ -342,6 +364,7 @@
   duration id_retention = seconds(5);  // time after the deadline for which the
                                        // id of an attempt is kept
   bool limit_admission = true;  // false: admit every call, for comparison
+  bool ramp_up = true;          // false: no ramp-up, for comparison
 };
 
 class target_internals;
@@ -386,6 +409,7 @@
   bool idle() const;
   // Returns the load of the instance for a load report to other daemons.
   load_report Load() const;
+  instance_pace Pace() const;
 
  private:
   std::unique_ptr<target_internals> internals_;
--- a/calls/instance_speed.h
+++ b/calls/instance_speed.h
@@ -26,9 +26,9 @@
   void Compare(instant from, instant to, duration usual);
 
   // Returns true if the recent responses state the speed.
-  bool stated() const { return stated_; }
+  bool IsStated() const { return stated_; }
   // Returns true unless the service times contradict the statements.
-  bool trusted() const { return trusted_; }
+  bool IsTrusted() const { return trusted_; }
   // Returns the time that work takes now, relative to the usual.
   double Factor(instant now) const;
   // Returns the time that work takes from now on which usually takes `usual`.
--- a/calls/instance_watch.h
+++ b/calls/instance_watch.h
@@ -36,7 +36,7 @@
   // Moving average of the service time of a route at usual speed; empty before
   // enough responses to judge others by it.
   std::optional<duration> UsualServiceTimeOf(const std::string& route) const;
-  const instance_speed& speed() const { return speed_; }
+  const instance_speed& Speed() const { return speed_; }
   // Recent attempts that the instance failed or rejected, in percent.
   std::uint32_t rejected_percent() const {
     return static_cast<std::uint32_t>(rejected_share_ * 100);
--- a/calls/own_instance.cc
+++ b/calls/own_instance.cc
@@ -9,7 +9,10 @@
 }
 
 void own_instance::Update(const snapshot& view) {
+  instance_changed_ = false;
   if (const known_instance* registered = FindRegistered(view)) {
+    instance_changed_ = !last_instance_.empty() &&
+                        last_instance_ != registered->registration.id;
     last_instance_ = registered->registration.id;
     slots_ = std::max(1U, registered->registration.slots);
   }
--- a/calls/own_instance.h
+++ b/calls/own_instance.h
@@ -19,6 +19,9 @@
   // Returns true if the evacuation of the failure domain of this host has ended
   // between the last two updates.
   bool EvacuationEnded() const { return evacuation_ended_; }
+  // Returns true if the last update has replaced a registered instance by
+  // another.
+  bool InstanceChanged() const { return instance_changed_; }
   // Slots of the last registration, at least 1.
   std::uint32_t Slots() const { return slots_; }
 
@@ -40,6 +43,7 @@
   std::uint32_t slots_ = 1;
   bool was_evacuated_ = false;
   bool evacuation_ended_ = false;
+  bool instance_changed_ = false;
 };
 
 }  // namespace parsleyyard
--- a/calls/target_internals.h
+++ b/calls/target_internals.h
@@ -1,6 +1,7 @@
 // State and decisions of the call target. Internal to calls/.
 //
-// call_target.cc admits calls, and target_runs.cc starts and ends them.
+// call_target.cc admits calls, target_runs.cc starts and ends them, and
+// target_pace.cc follows the speed of the instance and its ramp-up.
 
 #ifndef PARSLEYYARD_CALLS_TARGET_INTERNALS_H_
 #define PARSLEYYARD_CALLS_TARGET_INTERNALS_H_
@@ -10,6 +11,7 @@
 #include "calls/cold_limiter.h"
 #include "calls/instance_watch.h"
 #include "calls/own_instance.h"
+#include "calls/ramp_up.h"
 #include "calls/wait_queue.h"
 #include "model/pause_guard.h"
 #include "model/transit_clock.h"
@@ -51,6 +53,7 @@
   }
   bool idle() const { return running_ == 0 && queue_.empty(); }
   load_report Load(const std::string& route = "") const;
+  instance_pace Pace() const;
 
  private:
   refusal_reason FindRefusal(const call_request& message,
@@ -70,6 +73,12 @@
   void StartOrRefuse(const waiting_call& next, instant now);
   bool IsTooLate(const waiting_call& next, instant now) const;
   void FollowSpeed(instant now);
+  std::uint32_t Limit() const;
+  void RequestRampUp(ramp_up_cause cause, instant now);
+  void UpdateRampUp(instant now);
+  void RecordForRampUp(const table_entry& call,
+                       const upstream_result& result,
+                       instant now);
   void RefuseHopelessCalls(instant now);
   void RefuseCallsThatOutlastDaemon(instant now);
   void WithholdUnwrittenCalls();
@@ -95,6 +104,9 @@
   wait_queue queue_;
   cold_limiter cold_limiter_;
   instance_watch watch_;
+  ramp_up ramp_up_;
+  // Ramp-up that begins once the instance has stated its speed.
+  std::optional<ramp_up_cause> requested_ramp_up_ = ramp_up_cause::kDaemonStart;
   pause_guard pause_guard_;
   transit_clock transit_clock_;
   double queued_factor_ = 1;  // speed by which the queue is ordered
--- a/calls/target_runs.cc
+++ b/calls/target_runs.cc
@@ -3,7 +3,6 @@
 #include "calls/attempt_answer.h"
 #include "calls/target_internals.h"
 
-#include <cmath>
 #include <utility>
 
 namespace parsleyyard {
@@ -16,9 +15,6 @@
 // A waiting call is refused in favour of others once the time left until it is
 // due is shorter than this share of its service time.
 constexpr double kMinServiceTimeShare = 0.7;
-// Relative change of the speed of the instance from which the waiting calls are
-// ordered anew. Smaller ones change the order of few calls.
-constexpr double kMinFactorChange = 0.1;
 // Time before the end of the daemon from which calls that still wait for a
 // connection to the instance are refused. It suffices for the answer.
 constexpr duration kWithholdTime = std::chrono::milliseconds(300);
@@ -41,8 +37,7 @@
 void target_internals::StartWaitingCalls() {
   const instant now = clock_.Now();
   pause_guard_.Observe(now);
-  while (!queue_.empty() &&
-         (running_ < own_instance_.Slots() || !options_.limit_admission)) {
+  while (!queue_.empty() && (running_ < Limit() || !options_.limit_admission)) {
     if (options_.limit_admission && !cold_limiter_.Allows(now)) {
       return;
     }
@@ -130,6 +125,7 @@
   call.started_at = now;
   ++running_;
   cold_limiter_.Pacer().OnStarted(now);
+  ramp_up_.OnStarted(running_);
   upstream_.Run(next.id, call.message, call.deadline - now);
 }
 
@@ -201,6 +197,7 @@
   const bool withheld = call->withheld_for != refusal_reason::kNone;
   if (!withheld) {
     watch_.OnDone(result, call->message->route, now - call->started_at, now);
+    RecordForRampUp(*call, result, now);
     FollowSpeed(now);
   }
   call_answer answer = BuildAnswer(id, std::move(result), call->withheld_for);
@@ -214,18 +211,6 @@
   StartWaitingCalls();
 }
 
-// Orders the waiting calls by the present speed of the instance.
-void target_internals::FollowSpeed(instant now) {
-  const double factor = watch_.speed().Factor(now);
-  if (std::abs(factor - queued_factor_) < kMinFactorChange * queued_factor_) {
-    return;
-  }
-  queued_factor_ = factor;
-  queue_.UpdateServiceTimes([&](const waiting_call& call) {
-    return watch_.ServiceTimeOf(table_.Find(call.id)->message->route, now);
-  });
-}
-
 void target_internals::OnUpstreamReport(const upstream_report& report) {
   const instant now = clock_.Now();
   watch_.OnReport(report, now);
@@ -233,6 +218,7 @@
   cold_limiter_.OnHealthCheck(report, oldest_probe_at_, now);
   probes_in_progress_ -= probes_in_progress_ > 0 ? 1 : 0;
   ReportColdLimit(now);
+  UpdateRampUp(now);
   StartWaitingCalls();
 }
 
--- a/daemon/admin_pages.cc
+++ b/daemon/admin_pages.cc
@@ -145,9 +145,11 @@
     status = control_.Status();
   }
   load_report load;
+  instance_pace pace;
   {
     const std::lock_guard lock(target_mutex_);
     load = target_.Load();
+    pace = target_.Pace();
   }
   std::ostringstream page;
   page << metrics_.RenderPrometheusText();
@@ -190,6 +192,26 @@
              load.running);
   add_metric("calls_waiting", "gauge", "Calls queued for the instance.",
              load.waiting);
+  add_metric(
+      "instance_work_time", "gauge",
+      "Time that work takes at the instance, relative to the usual; 1 if "
+      "it is not stated or not trusted.",
+      pace.work_time);
+  add_metric("instance_speed_trusted", "gauge",
+             "1 if the instance states its speed and service times confirm it.",
+             pace.speed_stated && pace.speed_trusted ? 1 : 0);
+  add_metric("instance_limit", "gauge",
+             "Limit of concurrent calls at the instance.", pace.limit);
+  add_metric("ramping_up", "gauge", "1 while the instance is ramping up.",
+             pace.ramping_up ? 1 : 0);
+  add_metric("ramp_ups_total", "counter", "Ramp-ups that began.",
+             static_cast<double>(pace.ramp_ups));
+  add_metric("ramp_up_raises_total", "counter",
+             "Raises of the limit during ramp-ups.",
+             static_cast<double>(pace.raises));
+  add_metric("ramp_up_cuts_total", "counter",
+             "Cuts of the limit during ramp-ups.",
+             static_cast<double>(pace.cuts));
   page << "# HELP parsleyyard_info Address, failure domain and region of this "
           "daemon.\n# TYPE "
           "parsleyyard_info gauge\nparsleyyard_info{address=\""
--- a/daemon/call_wiring.cc
+++ b/daemon/call_wiring.cc
@@ -71,6 +71,15 @@
               {"after_start_ms", line.since_start.count() / 1000}});
 }
 
+void daemon_internals::OnRampUp(const ramp_up_line& line) {
+  log_.Write(log_kind::kColdInstance, log_level::kInfo, "target",
+             line.begins ? "ramp-up began" : "ramp-up ended",
+             {{"cause", line.cause},
+              {"limit", line.limit},
+              {"slots", line.slots},
+              {"took_ms", line.took.count() / 1000}});
+}
+
 void daemon_internals::SendAnswer(const host_address& to,
                                   std::shared_ptr<const call_answer> message) {
   if (!IsSelf(to)) {
--- a/daemon/daemon_internals.h
+++ b/daemon/daemon_internals.h
@@ -92,6 +92,7 @@
   void OnCallEvent(const call_event_line& line) override;
   void OnColdLimit(const cold_limit_line& line) override;
   void OnColdRequest(const cold_request_line& line) override;
+  void OnRampUp(const ramp_up_line& line) override;
 
   // answer_link
   void SendAnswer(const host_address& to,
--- a/tests/call_fixtures.h
+++ b/tests/call_fixtures.h
@@ -36,9 +36,11 @@
   void OnColdRequest(const cold_request_line& line) override {
     requests.push_back(line);
   }
+  void OnRampUp(const ramp_up_line& line) override { ramp_ups.push_back(line); }
 
   std::vector<cold_limit_line> limits;
   std::vector<cold_request_line> requests;
+  std::vector<ramp_up_line> ramp_ups;
 };
 
 inline const region_map kTwoRegions = {{"north-a", "north"},
--- a/tests/instance_speed_test.cc
+++ b/tests/instance_speed_test.cc
@@ -120,23 +120,23 @@
     }
   };
   run_calls(true);
-  EXPECT_TRUE(speed.trusted());
+  EXPECT_TRUE(speed.IsTrusted());
   run_calls(false);
-  EXPECT_FALSE(speed.trusted());
+  EXPECT_FALSE(speed.IsTrusted());
   EXPECT_EQ(speed.Factor(now), 1);
   EXPECT_EQ(speed.UsualTime(now - milliseconds(50), now), milliseconds(50));
   run_calls(true);
-  EXPECT_TRUE(speed.trusted());
+  EXPECT_TRUE(speed.IsTrusted());
 }
 
 TEST(InstanceSpeed, ForgetsInstanceThatNoLongerStatesIt) {
   instance_speed speed;
   speed.OnResponse(Stating(250), seconds(10));
-  EXPECT_TRUE(speed.stated());
+  EXPECT_TRUE(speed.IsStated());
   for (int i = 0; i < 20; ++i) {
     speed.OnResponse(instance_load{.slots = 2}, seconds(10));
   }
-  EXPECT_FALSE(speed.stated());
+  EXPECT_FALSE(speed.IsStated());
   EXPECT_EQ(speed.Factor(seconds(10)), 1);
 }
 
@@ -181,6 +181,7 @@
 
 // Load: two slots, 200 ms a call, objective 500 ms; six calls arrive at once.
 TEST_F(speed_fixture, AdmitsFewerCallsWhileTheInstanceIsSlow) {
+  Restart({.ramp_up = false});
   LearnServiceTime(milliseconds(200));
   const auto count_admitted = [&](std::uint64_t first) {
     std::uint64_t admitted = 0;
--- a/tests/upstream_runner_test.cc
+++ b/tests/upstream_runner_test.cc
@@ -68,6 +68,18 @@
   EXPECT_TRUE(RunAtInstance(SealedResponse(12'000'000)).complete);
 }
 
+// Guards against a speed that the target never learns.
+TEST(UpstreamRunner, CarriesTheLoadThatTheInstanceStates) {
+  http_response response = SealedResponse(1);
+  response.headers.push_back({.name = "Instance-Load", .value = "1,0,4,250"});
+  const upstream_result result = RunAtInstance(response);
+  ASSERT_TRUE(result.load);
+  EXPECT_EQ(result.load->slots, 4u);
+  EXPECT_EQ(result.load->work_time_percent, 250);
+  response.headers.erase(response.headers.begin());
+  EXPECT_FALSE(RunAtInstance(response).load) << "no instance made it";
+}
+
 // Guards against a 502 for an answer whose fields fit into a message.
 TEST(UpstreamRunner, AnswerWithLongFieldNameIsComplete) {
   http_response response = SealedResponse(1);
