--- a/net/net.h
+++ b/net/net.h
@@ -371,8 +371,8 @@
 struct response_info {
   // An instance made the response, and the body is the one that it made.
   bool authentic = false;
-  bool not_run = false;         // the instance did not run the request
-  bool wrong_instance = false;  // another instance listens at the address
+  bool not_run = false;               // the instance did not run the request
+  bool wrong_instance = false;        // another instance listens at the address
   std::optional<instance_load> load;  // empty: not stated or malformed
 };
 
--- a/tests/instance_speed_test.cc
+++ b/tests/instance_speed_test.cc
@@ -148,13 +148,11 @@
  protected:
   void CompleteStating(std::uint64_t sequence,
                        duration run_time,
-                       std::optional<instance_load> load) {
+                       const std::optional<instance_load>& load) {
     clock_.now += run_time;
-    target_->OnUpstreamDone({.origin = 9, .sequence = sequence},
-                            {.sent = true,
-                             .complete = true,
-                             .status = 200,
-                             .load = std::move(load)});
+    target_->OnUpstreamDone(
+        {.origin = 9, .sequence = sequence},
+        {.sent = true, .complete = true, .status = 200, .load = load});
   }
 };
 
--- a/tests/ramp_up_test.cc
+++ b/tests/ramp_up_test.cc
@@ -250,7 +250,8 @@
 
   // The same call takes the same time in each run, whatever ran before it.
   double SpreadOf(std::uint64_t sequence) {
-    std::mt19937_64 random(seed_ * 1'000'000 + sequence - first_offered_);
+    std::mt19937_64 random(std::uint64_t{1'000'000} * seed_ + sequence -
+                           first_offered_);
     return std::lognormal_distribution<double>(0, 0.3)(random);
   }
 
