Test revocation with real processes; report workspaces in check and diff

The stand-in instance states which workspace it saw and whether it saw a key, and scripts/fleet.py writes workspaces into the configuration. The test takes the store away from all daemons, stops one of them, withdraws a key and calls all after the bound.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -95,6 +95,8 @@
     resources += [{"resource-type": "services", "metadata": {"name": service},
                    "spec": {"health-path": "/health", "max-connections": profile["connections"],
                             "warmup-s": cold_ms / 1000, "warmup-per-s": cold_rate}} for service in profile["services"]]
+    resources += [{"resource-type": "tenants", "metadata": {"name": name}, "spec": spec}
+                  for name, spec in profile.get("workspaces", {}).items()]
     resources.append({"resource-type": "limits", "metadata": {},
                       "spec": {"max-header-bytes": 16384, "max-body-bytes": 1048576, "header-timeout-ms": 3000,
                                "idle-timeout-ms": 30000}})
--- a/standins/upstream.cc
+++ b/standins/upstream.cc
@@ -225,6 +225,7 @@
     response.body.resize(std::max(size, response.body.size()), 'p');
     response.headers.push_back({.name = "Attempt-Id", .value = request_id});
     response.headers.push_back({.name = "Server-Seal", .value = instance_id_});
+    AddSeenWorkspace(request, response);
     auto timer = std::make_shared<asio::steady_timer>(
         context_, std::chrono::milliseconds(work_ms));
     timer->async_wait(
@@ -237,6 +238,18 @@
         });
   }
 
+  // States in a response what the request had of a workspace, for tests.
+  static void AddSeenWorkspace(const http_request& request,
+                               http_response& response) {
+    if (const std::string* workspace = request.Find("Tenant-Id")) {
+      response.headers.push_back(
+          {.name = "x-seen-workspace", .value = *workspace});
+    }
+    if (request.Find("Key") != nullptr) {
+      response.headers.push_back({.name = "x-seen-key", .value = "1"});
+    }
+  }
+
   // Handles /health, /upstream/load and /upstream/admin.
   http_response HandleOwnRequest(const http_request& request) {
     if (request.target.starts_with("/upstream/admin")) {
--- a/tests/processes_test.py
+++ b/tests/processes_test.py
@@ -362,5 +362,73 @@
             self.assert_valid_history(f)
 
 
+class RevocationTest(ProcessesCase):
+    """Keys of workspaces that are withdrawn while daemons can't read the store."""
+
+    PROFILE = {**fleet.FAROLITO, "services": {"vitrina": 4, "agenda": 4},
+               "routes": [{"name": "catalogue", "spec": {"prefix": "/vitrina/", "service": "vitrina"}},
+                          {"name": "inner", "spec": {"prefix": "/agenda/", "service": "agenda", "no-auth": True}}],
+               "workspaces": {"acme": {"api-keys": ["key-one", "key-two"]}, "bolt": {"api-keys": ["key-three"]}}}
+    SETTINGS = {**SETTINGS, "platform": {"bounds": "strict-revoke=true,revoke-ms=5000"}}
+    REVOKE_S = 5
+    calls = 0
+
+    def call(self, host, path, key=None):
+        """Returns the status, the workspace that the instance saw, and whether it saw a key."""
+        self.calls += 1
+        headers = {"Host": fleet.VIRTUAL_HOST, "Attempt-Id": f"r-{self.calls}", "Tenant-Id": "forged",
+                   **({"Key": key} if key else {})}
+        request = urllib.request.Request(f"http://{host.address}:8080{path}", headers=headers)
+        try:
+            response = urllib.request.urlopen(request, timeout=30)
+        except urllib.error.HTTPError as error:
+            response = error
+        with response:
+            return response.status, response.headers["x-seen-workspace"], "x-seen-key" in response.headers
+
+    def call_until(self, host, key, expected, path="/vitrina/x"):
+        """Calls until the answer is the expected one: a view may be too old for a moment, or lack instances."""
+        deadline = time.time() + 30
+        while (answer := self.call(host, path, key)) != expected:
+            self.assertLess(time.time(), deadline, (host.address, key, answer))
+            time.sleep(0.05)
+
+    def withdraw_key(self, f, key):
+        changed = {name: {**spec, "api-keys": [k for k in spec["api-keys"] if k != key]}
+                   for name, spec in f.profile["workspaces"].items()}
+        f.profile = {**f.profile, "workspaces": changed}
+        return f.publish_configuration()
+
+    def test_withdrawn_key_runs_nowhere_after_the_bound(self):
+        with self.fleet(profile=self.PROFILE, settings=self.SETTINGS) as f:
+            f.wait_ready(version=f.version)
+            frozen = f.hosts[0]
+            for host in f.hosts:
+                self.call_until(host, "key-one", (200, "acme", False))
+                self.call_until(host, "key-three", (200, "bolt", False))
+                self.call_until(host, "key-nine", (401, None, False))
+                self.call_until(host, None, (401, None, False))
+                self.call_until(host, "key-one", (200, None, False), path="/agenda/x")
+            f.send_signal("daemon-" + frozen.address, signal.SIGSTOP)
+            f.set_store_fault("down")
+            version = self.withdraw_key(f, "key-one")
+            time.sleep(self.REVOKE_S + 0.01)
+            f.send_signal("daemon-" + frozen.address, signal.SIGCONT)
+            for host in f.hosts:
+                for key in ("key-one", "key-two"):
+                    self.assertEqual(self.call(host, "/vitrina/x", key)[0], 503, host.address)
+                self.call_until(host, None, (200, None, False), path="/agenda/x")
+            f.set_store_fault("none")
+            f.wait_ready(version=version)
+            for host in f.hosts:
+                self.call_until(host, "key-one", (401, None, False))
+                self.call_until(host, "key-two", (200, "acme", False))
+            pages = [fleet.fetch(f"{host.address}:8082/metrics") for host in f.hosts]
+            logs = [(f.out_dir / f"daemon-{host.address}.log").read_text() for host in f.hosts]
+            for text in pages + logs:
+                self.assertNotRegex(text, "key-(one|two|three|nine)")
+            self.assertIn("unconfirmed_key", "".join(logs))
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
--- a/tools/parsleyyard.cc
+++ b/tools/parsleyyard.cc
@@ -73,12 +73,29 @@
       [] { return kExitUsage; });
 }
 
+// Empty if the configuration has no workspaces.
+std::string DescribeWorkspaces(const configuration& config) {
+  if (!config.has_workspaces()) {
+    return "";
+  }
+  const auto keyless =
+      std::count_if(config.workspaces().begin(), config.workspaces().end(),
+                    [](const workspace& each) { return each.keys.empty(); });
+  const auto open =
+      std::count_if(config.routes().begin(), config.routes().end(),
+                    [](const route& each) { return !each.needs_key; });
+  return ", " + std::to_string(config.workspaces().size()) + " workspaces (" +
+         std::to_string(keyless) + " without a key), " + std::to_string(open) +
+         " routes without keys";
+}
+
 int CheckConfigurations(const std::vector<std::string>& files) {
   return RunAndReportErrors([&]() -> leaf::result<int> {
     for (const std::string& file : files) {
       BOOST_LEAF_AUTO(loaded, LoadConfiguration(file));
       std::cout << file << ": valid, version " << loaded->version() << ", "
-                << loaded->routes().size() << " routes\n";
+                << loaded->routes().size() << " routes"
+                << DescribeWorkspaces(*loaded) << "\n";
     }
     return kExitOk;
   });
@@ -90,9 +107,10 @@
     return x.service == y.service && x.weight == y.weight;
   };
   return a.virtual_host == b.virtual_host && a.prefix == b.prefix &&
-         a.idempotent == b.idempotent && a.timeout == b.timeout &&
-         a.objective == b.objective && a.priority == b.priority &&
-         a.max_attempts == b.max_attempts && a.home_regions == b.home_regions &&
+         a.idempotent == b.idempotent && a.needs_key == b.needs_key &&
+         a.timeout == b.timeout && a.objective == b.objective &&
+         a.priority == b.priority && a.max_attempts == b.max_attempts &&
+         a.home_regions == b.home_regions &&
          std::equal(a.targets.begin(), a.targets.end(), b.targets.begin(),
                     b.targets.end(), same_target);
 }
@@ -105,8 +123,32 @@
   return routes;
 }
 
-// Prints the routes that are added, changed and removed, and the size of the
-// update from the old document to the new one as a packed delta.
+bool SameWorkspace(const workspace& a, const workspace& b) {
+  return a.keys == b.keys && a.priority == b.priority && a.rate == b.rate &&
+         a.burst == b.burst && a.home_regions == b.home_regions;
+}
+
+// Prints the workspaces that are added, changed and removed, without their
+// keys.
+void PrintChangedWorkspaces(const configuration& before,
+                            const configuration& after) {
+  for (const workspace& added : after.workspaces()) {
+    const workspace* old = before.FindWorkspace(added.name);
+    if (old == nullptr) {
+      std::cout << "+ workspace " << added.name << ": new\n";
+    } else if (!SameWorkspace(*old, added)) {
+      std::cout << "~ workspace " << added.name << ": changed\n";
+    }
+  }
+  for (const workspace& removed : before.workspaces()) {
+    if (after.FindWorkspace(removed.name) == nullptr) {
+      std::cout << "- workspace " << removed.name << ": gone\n";
+    }
+  }
+}
+
+// Prints the routes and workspaces that are added, changed and removed, and the
+// size of the update from the old document to the new one as a packed delta.
 int DiffConfigurations(const std::string& before_file,
                        const std::string& after_file) {
   return RunAndReportErrors([&]() -> leaf::result<int> {
@@ -127,6 +169,7 @@
         std::cout << "- " << name << ": gone\n";
       }
     }
+    PrintChangedWorkspaces(*before, *after);
     const std::string base = ReadFile(before_file);
     std::cout << Pack(ReadFile(after_file), &base).size()
               << " bytes as a delta\n";
