--- a/fuzz/configuration.cc
+++ b/fuzz/configuration.cc
@@ -23,6 +23,15 @@
   CheckDuration(checked.objective);
 }
 
+void CheckWorkspace(const configuration& config, const workspace& checked) {
+  Check(config.FindWorkspace(checked.name) == &checked,
+        "a workspace is found by its name");
+  for (const std::string& key : checked.keys) {
+    Check(!key.empty() && config.FindWorkspaceByKey(key) == &checked,
+          "a key leads to the only workspace that has it");
+  }
+}
+
 void CheckConfiguration(const configuration& config) {
   for (const route& each : config.routes()) {
     CheckRoute(config, each);
@@ -30,6 +39,9 @@
       CheckDuration(config.FindService(target.service)->warm_up);
     }
   }
+  for (const workspace& each : config.workspaces()) {
+    CheckWorkspace(config, each);
+  }
   CheckDuration(config.limits().header_timeout);
   CheckDuration(config.limits().idle_timeout);
 }
--- a/tests/processes_test.py
+++ b/tests/processes_test.py
@@ -418,6 +418,12 @@
                 for key in ("key-one", "key-two"):
                     self.assertEqual(self.call(host, "/vitrina/x", key)[0], 503, host.address)
                 self.call_until(host, None, (200, None, False), path="/agenda/x")
+            # Bounds that are reloaded count at once.
+            reloaded = f.hosts[1]
+            f.settings = {**SETTINGS, "platform": {"bounds": "strict-revoke=false"}}
+            f.write_settings(reloaded)
+            f.send_signal("daemon-" + reloaded.address, signal.SIGHUP)
+            self.call_until(reloaded, "key-two", (200, "acme", False))
             f.set_store_fault("none")
             f.wait_ready(version=version)
             for host in f.hosts:
