Ask a silent owner less often

While the store is lost, each daemon asked the owner of each workspace ten times a second in vain: 3,590 messages a second for one workspace on 66 daemons (quota_alternatives, 'store lost'). The interval doubles up to 800 ms, unless the owner states when it starts.

--- a/tests/quota_alternatives.cc
+++ b/tests/quota_alternatives.cc
@@ -26,6 +26,7 @@
   kRegionsCut,
   kFleetRestart,
   kLowered,  // to a tenth
+  kStoreLost,
 };
 
 struct scenario {
@@ -132,6 +133,11 @@
       case fault::kLowered:
         SetLimit(0.1);
         break;
+      case fault::kStoreLost:
+        for (int i = 0; i < kHosts / regions_; ++i) {
+          world_.SetCutFromStore(i, true);
+        }
+        break;
     }
   }
 
@@ -348,7 +354,10 @@
        .happens = fault::kFleetRestart},
       {.name = "limit lowered to a tenth, 20 x",
        .demand = 20 * kLimit.rate,
-       .happens = fault::kLowered}};
+       .happens = fault::kLowered},
+      {.name = "store lost, usual demand",
+       .demand = kUsual,
+       .happens = fault::kStoreLost}};
   std::printf(
       "| load and fault | design | served | largest window | messages/s |\n"
       "|---|---|---|---|---|\n");
--- a/workspaces/quota.h
+++ b/workspaces/quota.h
@@ -267,6 +267,7 @@
     instant last_refusal = instant::min();   // as over quota
     instant last_answer = instant::min();    // of the owner
     bool silent = false;                     // the owner does not grant
+    duration probe_interval{};               // of a silent owner
     instant next_probe = instant::min();     // of a silent owner
     duration owner_starts_in{};              // as the owner stated it
     double demand = 0;                       // requests a second, at:
--- a/workspaces/quota_client.cc
+++ b/workspaces/quota_client.cc
@@ -19,8 +19,11 @@
 constexpr duration kSilentAfter = std::chrono::milliseconds(80);
 // An answer that takes longer is not used.
 constexpr duration kLatestAnswer = std::chrono::milliseconds(250);
-// Interval of the requests to a silent owner.
-constexpr duration kProbeInterval = std::chrono::milliseconds(100);
+// Interval of the requests to a silent owner. It doubles up to the longest one:
+// while the store is lost, all daemons ask the owners of all workspaces in
+// vain.
+constexpr duration kFirstProbeInterval = std::chrono::milliseconds(100);
+constexpr duration kLongestProbeInterval = std::chrono::milliseconds(800);
 constexpr std::uint64_t kProbeTokens = 4;
 // Time constant of the mean demand.
 constexpr duration kDemandPeriod = std::chrono::milliseconds(500);
@@ -176,7 +179,9 @@
   if (of.silent) {
     const bool in_demand = IsWithin(of.last_arrival, kDemandEnds, now);
     wanted = in_demand ? std::clamp<std::uint64_t>(needed, 1, kProbeTokens) : 0;
-    of.next_probe = now + kProbeInterval;
+    of.probe_interval = std::clamp<duration>(
+        of.probe_interval * 2, kFirstProbeInterval, kLongestProbeInterval);
+    of.next_probe = now + of.probe_interval;
   } else if (at_once > held + asked || (held + asked) * 2 < needed) {
     wanted = std::min(needed - held - asked, kMaxWanted);
   }
@@ -220,11 +225,19 @@
     of.silent = true;
     of.owner_starts_in =
         std::min<duration>(milliseconds(grant.retry_after_ms), kMaxRetryAfter);
-    of.next_probe = now + std::clamp<duration>(of.owner_starts_in,
-                                               kMinRetryAfter, kProbeInterval);
+    // An owner that starts states when; one that is cut off from the store
+    // doesn't know.
+    if (of.owner_starts_in > duration::zero()) {
+      of.probe_interval = kFirstProbeInterval;
+      of.next_probe = now + std::min(of.owner_starts_in, kLongestProbeInterval);
+    } else {
+      of.probe_interval = std::max(of.probe_interval, kFirstProbeInterval);
+      of.next_probe = now + of.probe_interval;
+    }
     return;
   }
   of.silent = false;
+  of.probe_interval = duration::zero();
   of.owner_starts_in = duration::zero();
   const std::uint32_t tokens = grant.answer == quota_answer::kGranted
                                    ? std::min(grant.tokens, asked.wanted)
--- a/workspaces/quota_owner.cc
+++ b/workspaces/quota_owner.cc
@@ -16,6 +16,8 @@
 // A new owner grants only after this time. A former owner whose view lags has
 // ceased by then; the excess over kGrantAge covers the drift of clocks.
 constexpr duration kTakeoverDelay = std::chrono::milliseconds(3200);
+// Time for which a new owner typically waits for one more confirmation.
+constexpr duration kNextConfirmation = std::chrono::milliseconds(100);
 // Refill time of the spare capacity of a bucket. Without it, a bucket with a
 // small burst would overflow between two requests for its tokens.
 constexpr double kSpareSeconds = 0.05;
@@ -118,18 +120,20 @@
   return change;
 }
 
-// Empty if the owner may grant now.
+// Empty if the owner may grant now; zero if it is not known when it may.
 std::optional<duration> quota_owner::TimeUntilGrants(const bucket& of,
                                                      instant now) const {
   // The view must have been confirmed for as long as no former owner can have
   // missed that it is one no more; see SetView().
   const instant grants_from = of.owner_since + kTakeoverDelay;
-  const bool sure = *confirmed_at_ >= of.owner_since + kGrantAge &&
-                    now - *confirmed_at_ <= kGrantAge;
-  if (now >= grants_from && sure) {
-    return std::nullopt;
+  const bool long_enough = *confirmed_at_ >= of.owner_since + kGrantAge;
+  if (now - *confirmed_at_ > kGrantAge) {
+    return duration::zero();
   }
-  return std::max(grants_from - now, kMinTurn);
+  if (now < grants_from) {
+    return grants_from - now;
+  }
+  return long_enough ? std::nullopt : std::optional(kNextConfirmation);
 }
 
 quota_grant quota_owner::OnRequest(const quota_request& request, instant now) {
