--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
+#include <functional>
 #include <limits>
 #include <map>
 #include <string>
@@ -317,6 +319,41 @@
   }
 }
 
+// A host that was listed only now may not be known to the others, which then
+// use larger shares.
+TEST(QuotaFallback, HostJustListedHasNoShare) {
+  const quota limit{.rate = 100, .burst = 100};
+  seeded_random random(1);
+  test_port port;
+  quota_client client({.address = kSelf}, random, port);
+  const auto admit = [&](instant now) {
+    return client.Admit(1, kName, duration::zero(), now).verdict;
+  };
+  client.SetView(MapOf({kOther}, limit), kStart);
+  EXPECT_EQ(admit(kStart + seconds(6)), quota_verdict::kUnknown);
+  client.SetView(MapOf({kSelf, kOther}, limit), kStart + seconds(10));
+  EXPECT_EQ(admit(kStart + milliseconds(14900)), quota_verdict::kUnknown);
+  EXPECT_EQ(admit(kStart + seconds(15)), quota_verdict::kAdmitted);
+}
+
+// Tokens that are carried into a window and the fallback must fit into what the
+// rule permits beyond the quota, also if both are used in full.
+TEST(QuotaLimits, CarriedTokensAndFallbackFitTheExcess) {
+  for (const double over : {0.1, 0.25, 0.5}) {
+    for (const double rate : {1.0, 332.0, 1e6}) {
+      const quota_limits limits{.over = over};
+      const quota limit{.rate = rate};
+      const double window =
+          std::chrono::duration<double>(limits.window).count();
+      const double carried =
+          rate * std::chrono::duration<double>(TokenLifetime(limits)).count();
+      EXPECT_LE(carried + FallbackTotal(limits, limit),
+                over * rate * window * 0.95 + limits.slack)
+          << over << " " << rate;
+    }
+  }
+}
+
 // A host that leaves or joins moves only its own workspaces, and the map that
 // is built from the previous one is the same as one built anew.
 TEST(QuotaMap, ChangeOfHostsMovesFewOwners) {
