Apply the quota of a new configuration at once; test a quota with processes

Callers of a daemon that had just started were served without a token for up to 200 ms: the map of quotas was made at most five times a second, and a workspace that it lacked counted as one without a quota. A new configuration is taken over at the next request. Seen with real processes; quota_service_fixture has a test.

processes_quota calls all hosts at once while the link between the regions is cut and while the owner is frozen, and checks the largest 5 s window of what may have run.

--- a/daemon/quota_service.cc
+++ b/daemon/quota_service.cc
@@ -50,11 +50,18 @@
 quota_decision quota_service::Admit(std::uint64_t call,
                                     const std::string& workspace,
                                     duration max_wait) {
+  quota_ownership_change change;
   quota_decision decision;
   {
     const std::lock_guard lock(mutex_);
-    decision = client_.Admit(call, workspace, max_wait, clock_.Now());
+    const instant now = clock_.Now();
+    // The quota may be new with the configuration that admits the request.
+    if (HasNewConfiguration(*view_.Current())) {
+      change = UpdateView(now);
+    }
+    decision = client_.Admit(call, workspace, max_wait, now);
   }
+  LogChange(change);
   Record(decision);
   return decision;
 }
@@ -98,14 +105,18 @@
   Report(decisions);
 }
 
+bool quota_service::HasNewConfiguration(const snapshot& view) const {
+  return seen_ == nullptr || view.config != seen_->config;
+}
+
 // The time of the confirmation is read first, so that it never belongs to a
-// newer view than the one that is used. While a new map is put off, no newer
-// confirmation is passed on.
+// newer view than the one that is used. A new configuration takes effect at
+// once. While a new map is put off, no newer confirmation is passed on.
 quota_ownership_change quota_service::UpdateView(instant now) {
   const instant confirmed_at = view_.ConfirmedAt();
   auto view = view_.Current();
   if (view != seen_) {
-    if (now - map_made_at_ < kMapInterval) {
+    if (!HasNewConfiguration(*view) && now - map_made_at_ < kMapInterval) {
       return {};
     }
     map_made_at_ = now;
--- a/daemon/quota_service.h
+++ b/daemon/quota_service.h
@@ -44,7 +44,7 @@
   void SetCallbacks(send_function send, decided_function decided);
   void SetLimits(const quota_limits& limits);
 
-  // request_quotas. The view is that of the last Tick().
+  // request_quotas
   quota_decision Admit(std::uint64_t call,
                        const std::string& workspace,
                        duration max_wait) override;
@@ -68,6 +68,7 @@
  private:
   std::optional<quota_grant> Request(const host_address& owner,
                                      const quota_request& message) override;
+  bool HasNewConfiguration(const snapshot& view) const;
   quota_ownership_change UpdateView(instant now);
   void Record(const quota_decision& decision);
   void Report(const std::vector<quota_decision>& decisions);
--- a/tests/processes_test.py
+++ b/tests/processes_test.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """Tests with real processes and signals. They check the call and execution logs and measure no times."""
 
+import itertools
 import json
 import pathlib
 import signal
@@ -436,5 +437,93 @@
             self.assertIn("unconfirmed_key", "".join(logs))
 
 
+class QuotaTest(ProcessesCase):
+    """The quota of a workspace over all hosts, while the link between the regions is cut or its owner is frozen."""
+
+    RATE, BURST, WINDOW_S = 10, 10, 5
+    BOUND = (RATE * WINDOW_S + BURST) * 1.25 + 20
+    PROFILE = {**fleet.FAROLITO, "services": {"vitrina": 4, "agenda": 4},
+               "routes": [{"name": "catalogue", "spec": {"prefix": "/vitrina/", "service": "vitrina"}}],
+               "workspaces": {"acme": {"api-keys": ["key-one"], "rate-per-s": RATE, "burst": BURST},
+                              "bolt": {"api-keys": ["key-two"]}}}
+    numbers = itertools.count()
+
+    def call(self, host, key="key-one"):
+        """Returns the time of sending, the status, the reason and the retry-after."""
+        attempt = f"q-{next(self.numbers)}"
+        headers = {"Host": fleet.VIRTUAL_HOST, "Attempt-Id": attempt, "Key": key}
+        request = urllib.request.Request(f"http://{host.address}:8080/vitrina/x", headers=headers)
+        sent_at = time.monotonic()
+        try:
+            response = urllib.request.urlopen(request, timeout=30)
+        except urllib.error.HTTPError as error:
+            response = error
+        with response:
+            response.read()
+            return (sent_at, response.status, response.headers["x-parsleyyard-reason"],
+                    response.headers["retry-after"])
+
+    def call_all(self, hosts, seconds):
+        """Calls all hosts at the same time, each one call after the other."""
+        answers = []
+        end = time.monotonic() + seconds
+
+        def call_one(host):
+            while time.monotonic() < end:
+                answers.append(self.call(host))
+                time.sleep(0.01)
+        threads = [threading.Thread(target=call_one, args=(host,)) for host in hosts]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return answers
+
+    def call_until_served(self, host, key="key-one"):
+        deadline = time.time() + 60
+        while (answer := self.call(host, key))[1] != 200:
+            self.assertIn(answer[1], (429, 503), answer)
+            self.assertLess(time.time(), deadline, (host.address, answer))
+            time.sleep(0.1)
+
+    def largest_window(self, answers):
+        ran = sorted(sent_at for sent_at, status, *_ in answers if status not in (429, 503))
+        return max((sum(first <= at < first + self.WINDOW_S for at in ran) for first in ran), default=0)
+
+    def owner(self, f):
+        owners = [host for host in f.hosts
+                  if "\nparsleyyard_quotas_owned 1\n" in fleet.fetch(f"{host.address}:8082/metrics")]
+        self.assertEqual(len(owners), 1, owners)
+        return owners[0]
+
+    def test_quota_holds_over_all_hosts_under_a_cut_and_a_frozen_owner(self):
+        with self.fleet(profile=self.PROFILE) as f:
+            f.wait_ready(version=f.version)
+            for host in f.hosts:
+                self.call_until_served(host)
+            answers = self.call_all(f.hosts, 6)
+            self.assertIn(429, {status for _, status, *_ in answers})
+            for _, status, reason, retry_after in answers:
+                self.assertIn(status, (200, 429, 503), reason)
+                if status == 429:
+                    self.assertEqual(reason, "over_quota")
+                    self.assertGreater(float(retry_after), 0)
+            f.cut_link("both")
+            answers += self.call_all(f.hosts, 8)
+            self.assertIn("quota_unknown", {reason for _, _, reason, _ in answers})
+            f.cut_link("none")
+            owner = self.owner(f)
+            others = [host for host in f.hosts if host != owner]
+            f.send_signal("daemon-" + owner.address, signal.SIGSTOP)
+            answers += self.call_all(others, 5)
+            f.send_signal("daemon-" + owner.address, signal.SIGCONT)
+            answers += self.call_all(f.hosts, 6)
+            self.assertLessEqual(self.largest_window(answers), self.BOUND)
+            for host in f.hosts:
+                self.call_until_served(host)
+                # A workspace without a quota is not limited.
+                self.call_until_served(host, "key-two")
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
--- a/tests/quota_gate_test.cc
+++ b/tests/quota_gate_test.cc
@@ -38,10 +38,10 @@
     const std::lock_guard lock(mutex_);
     next_ = std::move(next);
   }
-  std::uint64_t last_call() const { return Get(last_call_); }
-  std::uint64_t cancelled() const { return Get(cancelled_); }
-  int returned() const { return Get(returned_); }
-  duration last_max_wait() const { return Get(last_max_wait_); }
+  std::uint64_t LastCall() const { return Get(last_call_); }
+  std::uint64_t Cancelled() const { return Get(cancelled_); }
+  int Returned() const { return Get(returned_); }
+  duration LastMaxWait() const { return Get(last_max_wait_); }
 
  private:
   template <class T>
@@ -113,13 +113,13 @@
 TEST_F(quota_gate_fixture, AdmittedRequestRuns) {
   EXPECT_EQ(StatusOf(Exchange(Request("/a/"))), 200);
   EXPECT_EQ(begun_, 1);
-  EXPECT_EQ(quotas_.last_max_wait(), milliseconds(80));
+  EXPECT_EQ(quotas_.LastMaxWait(), milliseconds(80));
 }
 
 TEST_F(quota_gate_fixture, RequestWithoutWorkspaceNeedsNoQuota) {
   quotas_.SetNext({.verdict = quota_verdict::kOverQuota});
   EXPECT_EQ(StatusOf(Exchange(Request("/open/"))), 200);
-  EXPECT_EQ(quotas_.last_call(), 0U);
+  EXPECT_EQ(quotas_.LastCall(), 0U);
 }
 
 TEST_F(quota_gate_fixture, RefusalsStateTheOutcomeAndWhenToComeBack) {
@@ -143,11 +143,11 @@
   quotas_.SetNext({.verdict = quota_verdict::kWaiting});
   std::string response;
   std::thread caller([&] { response = Exchange(Request("/a/")); });
-  Await([&] { return quotas_.last_call() != 0; });
+  Await([&] { return quotas_.LastCall() != 0; });
   // A held request does not keep others from being served.
   EXPECT_EQ(StatusOf(Exchange(Request("/open/"))), 200);
   clock_.Set(clock_.Now() + milliseconds(30));
-  gate_->OnQuotaDecision({.request = quotas_.last_call(), .workspace = "acme"});
+  gate_->OnQuotaDecision({.request = quotas_.LastCall(), .workspace = "acme"});
   caller.join();
   EXPECT_EQ(StatusOf(response), 200);
   // The time that the request took to be read counts, too.
@@ -160,13 +160,13 @@
     asio::io_context context;
     tcp::socket socket = Connect(context);
     WriteText(socket, Request("/a/"));
-    Await([&] { return quotas_.last_call() != 0; });
+    Await([&] { return quotas_.LastCall() != 0; });
   }
-  Await([&] { return quotas_.cancelled() != 0; });
-  EXPECT_EQ(quotas_.cancelled(), quotas_.last_call());
-  gate_->OnQuotaDecision({.request = quotas_.last_call(), .workspace = "acme"});
+  Await([&] { return quotas_.Cancelled() != 0; });
+  EXPECT_EQ(quotas_.Cancelled(), quotas_.LastCall());
+  gate_->OnQuotaDecision({.request = quotas_.LastCall(), .workspace = "acme"});
   EXPECT_EQ(begun_, 0);
-  EXPECT_EQ(quotas_.returned(), 1);
+  EXPECT_EQ(quotas_.Returned(), 1);
 }
 
 // A request that has not run must not count against the quota.
@@ -175,11 +175,11 @@
   outcome_ = {.outcome = call_outcome::kNotRun,
               .reason = refusal_reason::kOverloaded};
   EXPECT_EQ(StatusOf(Exchange(Request("/a/"))), 503);
-  EXPECT_EQ(quotas_.returned(), 1);
+  EXPECT_EQ(quotas_.Returned(), 1);
   outcome_ = {.outcome = call_outcome::kUnknown,
               .reason = refusal_reason::kTimeout};
   EXPECT_EQ(StatusOf(Exchange(Request("/a/"))), 504);
-  EXPECT_EQ(quotas_.returned(), 1);
+  EXPECT_EQ(quotas_.Returned(), 1);
 }
 
 // Owner and client of one daemon, with the messages that they send.
@@ -253,6 +253,14 @@
       std::string::npos);
 }
 
+// A daemon that starts must not admit requests before it knows their quota.
+TEST_F(quota_service_fixture, NewConfigurationBindsAtOnce) {
+  service_.Tick();
+  SetQuota(10, "10.0.0.2");
+  EXPECT_EQ(service_.Admit(1, "acme", milliseconds(80)).verdict,
+            quota_verdict::kWaiting);
+}
+
 TEST_F(quota_service_fixture, GrantOfAnotherOwnerEndsTheWait) {
   SetQuota(10, "10.0.0.2");
   Pass(seconds(1));
