Bound what the system keeps for callers; test of clients that do not read

Responses that a client does not read also wait in the send buffer of its socket, which grew to 4 MiB. The buffers of callers' sockets are 64 KiB now.

--- a/daemon/admin_pages.cc
+++ b/daemon/admin_pages.cc
@@ -191,10 +191,10 @@
              static_cast<double>(memory_limits_.total));
   add_metric("memory_held_bytes", "gauge",
              "Bytes of requests and responses that are held.",
-             static_cast<double>(memory_->held()));
+             static_cast<double>(memory_->HeldBytes()));
   add_metric("memory_refusals_total", "counter",
              "Requests and responses that gave way for lack of memory.",
-             static_cast<double>(memory_->refusals()));
+             static_cast<double>(memory_->Refusals()));
   add_metric("calls_running", "gauge", "Calls in flight at the instance.",
              load.running);
   add_metric("calls_waiting", "gauge", "Calls queued for the instance.",
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -217,14 +217,14 @@
 
 // Writes at most one line in each interval.
 void daemon_internals::LogMemoryRefusals() {
-  const std::uint64_t refusals = memory_->refusals();
+  const std::uint64_t refusals = memory_->Refusals();
   if (refusals == logged_refusals_) {
     return;
   }
   log_.Write(log_kind::kProcess, log_level::kWarning, "daemon",
              "memory budget used up",
              {{"refusals", refusals - logged_refusals_},
-              {"held_bytes", memory_->held()},
+              {"held_bytes", memory_->HeldBytes()},
               {"limit_bytes", memory_limits_.total}});
   logged_refusals_ = refusals;
 }
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -34,9 +34,11 @@
     acceptor_.bind(tcp::endpoint(address, options_.port), error);
   }
   if (!error && options_.memory != nullptr) {
-    // The accepted sockets inherit it.
+    // The accepted sockets inherit both.
     acceptor_.set_option(
-        asio::socket_base::receive_buffer_size(kCallerReceiveBytes), error);
+        asio::socket_base::receive_buffer_size(kCallerSocketBytes), error);
+    acceptor_.set_option(
+        asio::socket_base::send_buffer_size(kCallerSocketBytes), error);
   }
   if (!error) {
     acceptor_.listen(asio::socket_base::max_listen_connections, error);
--- a/net/memory_budget.cc
+++ b/net/memory_budget.cc
@@ -19,9 +19,9 @@
           .max_small = kMaxSmallBytes};
 }
 
-std::size_t memory_budget::held() const {
+std::size_t memory_budget::HeldBytes() const {
   const std::lock_guard lock(mutex_);
-  return ledger_.held();
+  return ledger_.HeldBytes();
 }
 
 memory_account::memory_account(std::shared_ptr<memory_budget> budget)
--- a/net/memory_budget.h
+++ b/net/memory_budget.h
@@ -21,10 +21,10 @@
 // and the request that is written to the instance.
 inline constexpr std::size_t kBodyCopies = 2;
 
-// Bytes of unread input that the system keeps for one connection of a caller.
-// Callers are on the same host or in the same zone, where 64 KiB for each round
-// trip of 1 ms are more than the link carries.
-inline constexpr int kCallerReceiveBytes = 64 * 1024;
+// Bytes that the system keeps of unread input, and of unread responses, for one
+// connection of a caller. Callers are on the same host or in the same zone,
+// where 64 KiB for each round trip of 1 ms are more than the link carries.
+inline constexpr int kCallerSocketBytes = 64 * 1024;
 
 // The limits that follow from the memory of the host.
 memory_limits LimitsForHost(std::uint64_t host_bytes);
@@ -33,9 +33,9 @@
  public:
   explicit memory_budget(const memory_limits& limits) : ledger_(limits) {}
 
-  std::size_t held() const;  // bytes
+  std::size_t HeldBytes() const;
   // Requests and responses that were refused or given up for lack of memory.
-  std::uint64_t refusals() const { return refusals_; }
+  std::uint64_t Refusals() const { return refusals_; }
 
  private:
   friend class memory_account;
@@ -67,7 +67,6 @@
   void Begin();
   void End();
   bool GivesWay() const;
-  std::size_t held() const { return held_; }
 
  private:
   const std::shared_ptr<memory_budget> budget_;
--- a/net/memory_ledger.h
+++ b/net/memory_ledger.h
@@ -64,7 +64,7 @@
   // True if the account is to give way.
   bool GivesWay(account_id id) const { return accounts_.at(id).leaving; }
 
-  std::size_t held() const { return held_; }
+  std::size_t HeldBytes() const { return held_; }
 
  private:
   struct account {
--- a/tests/clients_test.py
+++ b/tests/clients_test.py
@@ -188,6 +188,38 @@
         self.check([over_the_limit() for _ in range(CLIENTS)])
 
 
+class UnreadResponsesTest(ClientsCase):
+    """Guards against a daemon that runs out of memory because clients don't read their responses."""
+
+    RESPONSE = 6 * MIB
+
+    def request_and_stop(self, address):
+        each = socket.socket()
+        each.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
+        each.connect((address, 8080))
+        each.sendall(f"GET /agenda/x HTTP/1.1\r\nHost: {fleet.VIRTUAL_HOST}\r\nAttempt-Id: unread-{next(attempts)}\r\n"
+                     f"x-want-bytes: {self.RESPONSE}\r\n\r\n".encode())
+        return each
+
+    def test_clients_do_not_read(self):
+        with self.fleet() as f:
+            f.wait_ready()
+            entry, sockets = f.hosts[0], []
+            for _ in range(CLIENTS):
+                sockets.append(self.request_and_stop(entry.address))
+                # The first bytes of the response are there, or a refusal: its bytes are held.
+                sockets[-1].settimeout(10)
+                sockets[-1].recv(1)
+            try:
+                self.assert_within_host(f)
+                self.assert_answers(entry)
+            finally:
+                for each in sockets:
+                    each.close()
+            self.assert_answers(entry, body=b"b" * MAX_BODY)
+            self.assert_within_host(f)
+
+
 class ManyPeersTest(ClientsCase):
     """Guards against the daemon beside an instance that runs out of memory by the calls of many daemons."""
 
--- a/tests/memory_budget_test.cc
+++ b/tests/memory_budget_test.cc
@@ -72,8 +72,8 @@
   for (int i = 0; i < 12; ++i) {
     SendStalled();
   }
-  EXPECT_TRUE(Eventually([&] { return budget_->refusals() >= 9; }));
-  EXPECT_LE(budget_->held(), 4 * kBodyBytes);
+  EXPECT_TRUE(Eventually([&] { return budget_->Refusals() >= 9; }));
+  EXPECT_LE(budget_->HeldBytes(), 4 * kBodyBytes);
   EXPECT_EQ(handler_.requests, 0);
   EXPECT_TRUE(Request("small").starts_with("HTTP/1.1 200"));
   EXPECT_TRUE(Eventually([&] {
@@ -81,7 +81,7 @@
   }));
   stalled_.clear();
   EXPECT_TRUE(Eventually([&] { return server_.connections() == 0; }));
-  EXPECT_EQ(budget_->held(), 0);
+  EXPECT_EQ(budget_->HeldBytes(), 0);
 }
 
 // Guards against a refusal that the client can't tell from a lost request.
@@ -185,7 +185,7 @@
   }
   EXPECT_FALSE(sender_events.down);
   EXPECT_EQ(target.counters().bad_frames, 0);
-  EXPECT_LT(budget->held(), kBodyBytes);
+  EXPECT_LT(budget->HeldBytes(), kBodyBytes);
   sender.Close();
   target.Close();
 }
--- a/tests/memory_ledger_test.cc
+++ b/tests/memory_ledger_test.cc
@@ -31,7 +31,7 @@
   const auto id = ledger.Open();
   EXPECT_EQ(ledger.TryHold(id, 800, seconds(0)).grant, memory_grant::kGranted);
   EXPECT_EQ(ledger.TryHold(id, 801, seconds(0)).grant, memory_grant::kRefused);
-  EXPECT_EQ(ledger.held(), 800);
+  EXPECT_EQ(ledger.HeldBytes(), 800);
 }
 
 // Guards against large bodies that leave no memory for ordinary requests.
@@ -105,7 +105,7 @@
             memory_grant::kGranted);
   EXPECT_EQ(ledger.TryHold(second, 300, seconds(5)).grant,
             memory_grant::kGranted);
-  EXPECT_EQ(ledger.held(), 600);
+  EXPECT_EQ(ledger.HeldBytes(), 600);
 }
 
 TEST(MemoryLedger, NobodyGivesWayInVain) {
@@ -140,7 +140,7 @@
       if (decided.grant != memory_grant::kGranted) {
         return false;
       }
-      EXPECT_LE(ledger.held(), limits.total);
+      EXPECT_LE(ledger.HeldBytes(), limits.total);
     }
     return true;
   };
