--- a/calls/call_sender.cc
+++ b/calls/call_sender.cc
@@ -75,6 +75,7 @@
   call_attempt& attempt = call.current;
   calls_.SetTarget(call, chosen->host);
   attempt.instance = chosen->instance;
+  attempt.leaves_region = chosen->leaves_region;
   call.tried_hosts.insert(chosen->host);
   ++call.attempts;
   attempt.connect_deadline = now + kConnectTimeout;
@@ -101,6 +102,7 @@
   }
   calls_.AssignSequence(call);
   attempt.target_incarnation = incarnation;
+  attempt.sent_at = now;
   attempt.silence_deadline =
       now +
       kSilenceFactor * placement_.MeanServiceTime(*view_.Current(), call.plan);
@@ -308,6 +310,11 @@
       call.current.target_host != from) {
     return;
   }
+  if (call.current.leaves_region && message.held_us > 0) {
+    placement_.OnRegionRoundTrip(
+        clock_.Now() - call.current.sent_at - duration(message.held_us),
+        clock_.Now());
+  }
   if (message.outcome == call_outcome::kNotRun) {
     return OnNotRun(call, message.reason, message.reached_instance);
   }
@@ -327,6 +334,11 @@
   Finish(call, std::move(result));
 }
 
+void sender_internals::OnLoadUpdate(const host_address& from,
+                                    const load_update& message) {
+  placement_.OnLoadUpdate(from, message.load, clock_.Now());
+}
+
 void sender_internals::TickAttempt(pending_call& call, instant now) {
   call_attempt& attempt = call.current;
   const call_state state = attempt.life_cycle.state();
@@ -414,6 +426,10 @@
 void call_sender::OnAnswer(const host_address& from, call_answer message) {
   internals_->OnAnswer(from, std::move(message));
 }
+void call_sender::OnLoadUpdate(const host_address& from,
+                               const load_update& message) {
+  internals_->OnLoadUpdate(from, message);
+}
 void call_sender::SetRetryLimits(const retry_limits& limits) {
   internals_->SetRetryLimits(limits);
 }
--- a/calls/call_table.h
+++ b/calls/call_table.h
@@ -23,6 +23,7 @@
   host_address sender;                          // daemon that gets the answer
   std::shared_ptr<const call_request> message;  // null once ended or if fenced
   std::shared_ptr<const call_answer> answer;  // null until ended, or if dropped
+  instant arrived_at{};                       // arrival at this daemon
   instant started_at{};                       // start of the run
   bool trial = false;    // tries an instance that refused a connection
   bool written = false;  // the request was written to the instance
--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -29,7 +29,10 @@
       .route_us = static_cast<std::uint32_t>(
           route.empty() ? 0 : watch_.ServiceTimeOf(route).count()),
       .rejected_percent = watch_.down() ? 100 : watch_.rejected_percent(),
-      .leaving = draining_};
+      .leaving = draining_,
+      .speed_percent = SpeedPercent(),
+      .waiting_by_priority = SpeedPercent() > 0 ? queue_.CountByPriority()
+                                                : std::vector<waiting_group>()};
 }
 
 void target_internals::ReportEvent(const call_request& message,
@@ -187,6 +190,7 @@
       end_at_, sent_at + std::chrono::milliseconds(message->objective_ms));
   table_entry entry{.sender = from,
                     .message = message,
+                    .arrived_at = now,
                     .deadline = deadline,
                     .objective = objective,
                     .expiry = std::max(now, deadline) + options_.id_retention};
--- a/calls/calls.h
+++ b/calls/calls.h
@@ -243,6 +243,7 @@
   void OnPeerStops(const host_address& peer);
   void OnLinkDown(const host_address& peer);
   void OnAnswer(const host_address& from, call_answer message);
+  void OnLoadUpdate(const host_address& from, const load_update& message);
   void SetRetryLimits(const retry_limits& limits);
   // Returns the number of calls that have no result yet.
   std::size_t in_flight() const;
--- a/calls/pending_calls.cc
+++ b/calls/pending_calls.cc
@@ -30,6 +30,7 @@
   message.route = call.plan.route;
   message.priority = call.plan.priority;
   message.never_repeat = call.plan.never_repeat;
+  message.wants_load = !call.current.leaves_region;
   message.sent_ms = static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
   message.deadline_ms =
--- a/calls/pending_calls.h
+++ b/calls/pending_calls.h
@@ -23,6 +23,8 @@
   std::string instance;
   std::uint64_t target_incarnation = 0;
   std::uint64_t sequence = 0;  // number of the attempt; 0: not sent yet
+  bool leaves_region = false;  // the target is in another region
+  instant sent_at{};
   instant connect_deadline{};  // latest time for the link to open
   instant silence_deadline{};  // from then on, the attempt counts as slow
   instant next_reconnect{};    // time of the next try to open a lost link
--- a/calls/placement.cc
+++ b/calls/placement.cc
@@ -15,15 +15,8 @@
 // Service time of an instance that has not reported. It is short, so that a new
 // instance gets calls and reports.
 constexpr duration kUnreportedServiceTime = std::chrono::milliseconds(5);
-// Network round trip to an instance, by tier.
-constexpr std::array<duration, 3> kRoundTripTimes = {
-    std::chrono::milliseconds(1), std::chrono::milliseconds(3),
-    std::chrono::milliseconds(26)};
 // Routes per host with a service time of their own.
 constexpr std::size_t kMaxRoutes = 256;
-// Added to the expected latency of an instance: in proportion to its failure
-// share, and once more if it drains or calls avoid its host.
-constexpr duration kFailurePenalty = std::chrono::seconds(2);
 // Weight of the latest attempt in the failure share: averages over about 10
 // attempts.
 constexpr double kFailureWeight = 0.1;
@@ -64,7 +57,13 @@
   const bool known = load.service_time_by_route.contains(route);
   if (report.route_us > 0 &&
       (known || load.service_time_by_route.size() < kMaxRoutes)) {
-    load.service_time_by_route[route] = duration(report.route_us);
+    load.service_time_by_route[route] = {
+        .service_time = duration(report.route_us),
+        .speed_percent = report.speed_percent};
+  }
+  const bool has_free_slot = report.running + report.waiting < report.limit;
+  if (report.speed_percent > 0 && has_free_slot) {
+    load.full_until_by_route.clear();
   }
 }
 
@@ -175,7 +174,10 @@
                                 const std::string& route) const {
   const auto found = load.service_time_by_route.find(route);
   if (found != load.service_time_by_route.end()) {
-    return found->second;
+    const auto& [service_time, speed_percent] = found->second;
+    const bool scales = speed_percent > 0 && load.report.speed_percent > 0;
+    return scales ? service_time * load.report.speed_percent / speed_percent
+                  : service_time;
   }
   return load.report.service_us > 0 ? duration(load.report.service_us)
                                     : kUnreportedServiceTime;
@@ -288,19 +290,32 @@
   return chosen;
 }
 
+chosen_instance placement::ToChosen(const known_instance& target) const {
+  return {.host = target.registration.host,
+          .instance = target.registration.id,
+          .leaves_region = TierOf(target) == kTiers - 1};
+}
+
 std::optional<chosen_instance> placement::Choose(
     const snapshot& view,
     const call_plan& plan,
     const call_time& left,
     const std::set<host_address>& tried_hosts,
     instant now) {
+  const auto instances = view.by_service.find(plan.service);
+  if (instances != view.by_service.end() &&
+      StateTheirSpeed(instances->second)) {
+    const std::vector<paced_candidate> evaluated =
+        EvaluatePaced(view, plan, left, tried_hosts, now);
+    const paced_candidate* paced = ChoosePaced(evaluated, left);
+    return paced ? std::optional(ToChosen(*paced->target)) : std::nullopt;
+  }
   const candidates best_by_tier = FindBestByTier(view, plan, tried_hosts, now);
   const candidate* chosen = PickTier(best_by_tier, left);
   if (chosen == nullptr) {
     return std::nullopt;
   }
-  return chosen_instance{.host = chosen->target->registration.host,
-                         .instance = chosen->target->registration.id};
+  return ToChosen(*chosen->target);
 }
 
 // A target admits calls whose expected wait is at most half of their spare
--- a/calls/placement.h
+++ b/calls/placement.h
@@ -7,6 +7,10 @@
 // takes into account that instances differ in speed, that some fail calls
 // although their health checks pass, and that a full host refuses the next
 // calls of a route as well.
+//
+// Instances that state their speed are chosen by their free capacity instead
+// (paced_placement.cc): at random among those that have some, since all senders
+// would choose the same best one.
 
 #ifndef PARSLEYYARD_CALLS_PLACEMENT_H_
 #define PARSLEYYARD_CALLS_PLACEMENT_H_
@@ -25,6 +29,7 @@
 struct chosen_instance {
   host_address host;
   std::string instance;
+  bool leaves_region = false;
 };
 
 // Time that a call has left.
@@ -41,7 +46,8 @@
   // Returns the nearest instance that is expected to answer within the
   // objective, else the one that is expected to answer first. Skips the hosts
   // in `tried_hosts` and those that are full or stop. Empty if no instance is
-  // left.
+  // left. If instances state their speed, also empty if all are expected to
+  // refuse the call.
   std::optional<chosen_instance> Choose(
       const snapshot& view,
       const call_plan& plan,
@@ -67,6 +73,14 @@
               const load_report& report,
               const std::string& route,
               instant now);
+  // Stores a load report that the host sent by itself. Ignored if no call was
+  // sent there.
+  void OnLoadUpdate(const host_address& host,
+                    const load_report& report,
+                    instant now);
+  // Records the time that a call to another region and its answer were on their
+  // way.
+  void OnRegionRoundTrip(duration round_trip, instant now);
   // Records whether an attempt at that host failed.
   void OnOutcome(const host_address& host, bool failed);
   // Records that the host refused a call of that route because it is full. It
@@ -96,12 +110,24 @@
  private:
   // Tiers of distance: own failure domain, own region, another region.
   static constexpr std::size_t kTiers = 3;
-
+  // Network round trip to an instance, by tier.
+  static constexpr std::array<duration, kTiers> kRoundTripTimes = {
+      std::chrono::milliseconds(1), std::chrono::milliseconds(3),
+      std::chrono::milliseconds(26)};
+  // Added to the expected latency of an instance: in proportion to its failure
+  // share, and once more if it drains or calls avoid its host.
+  static constexpr duration kFailurePenalty = std::chrono::seconds(2);
+
+  // Service time of a route, and the stated speed that it was reported with.
+  struct route_time {
+    duration service_time{};
+    std::uint32_t speed_percent = 0;
+  };
   struct host_load {
     std::uint32_t outstanding = 0;        // attempts of this daemon in flight
     std::uint32_t sent_since_report = 0;  // attempts sent after the last report
     load_report report;
-    std::map<std::string, duration> service_time_by_route;
+    std::map<std::string, route_time> service_time_by_route;
     instant reported_at{};
     double failure_share = 0;  // moving average, 0 to 1
     instant avoid_until{};
@@ -120,6 +146,7 @@
   bool RefusesCalls(const host_address& host,
                     const std::string& route,
                     instant now) const;
+  chosen_instance ToChosen(const known_instance& target) const;
   using candidates = std::array<candidate, kTiers>;
   candidates FindBestByTier(const snapshot& view,
                             const call_plan& plan,
@@ -142,9 +169,43 @@
                            std::size_t tier,
                            instant now) const;
 
+  // An instance as a target of one call, by what is known of its capacity.
+  struct paced_candidate {
+    const known_instance* target = nullptr;
+    std::size_t tier = 0;
+    bool is_free = false;        // a slot is free
+    bool shunned = false;        // fails calls, leaves or is avoided
+    bool report_is_new = false;  // recent enough to rely on a refusal
+    duration wait{};             // expected until the call starts
+    duration max_wait{};         // above it, the target refuses the call
+    duration latency{};          // expected until the answer arrives here
+    double weight = 0;           // calls a second that it has room for
+    std::uint64_t tie_breaker = 0;
+  };
+  using pool = std::vector<const paced_candidate*>;
+  bool StateTheirSpeed(const std::vector<const known_instance*>& targets) const;
+  std::vector<paced_candidate> EvaluatePaced(
+      const snapshot& view,
+      const call_plan& plan,
+      const call_time& left,
+      const std::set<host_address>& tried_hosts,
+      instant now) const;
+  paced_candidate Evaluate(const known_instance& target,
+                           const call_plan& plan,
+                           const call_time& left,
+                           duration mean_service_time,
+                           instant now) const;
+  const paced_candidate* ChoosePaced(
+      const std::vector<paced_candidate>& evaluated,
+      const call_time& left);
+  const paced_candidate* DrawOne(const pool& from);
+  const paced_candidate* DrawTwoChoices(const pool& from);
+
   const sender_options& options_;
   random_source& random_;
   std::unordered_map<host_address, host_load> loads_;
+  duration link_delay_{};  // mean delay between regions beyond the usual
+  instant link_delay_at_{};
 };
 
 }  // namespace parsleyyard
--- a/calls/sender_internals.h
+++ b/calls/sender_internals.h
@@ -73,6 +73,7 @@
   void OnPeerStops(const host_address& peer);
   void OnLinkDown(const host_address& peer);
   void OnAnswer(const host_address& from, call_answer message);
+  void OnLoadUpdate(const host_address& from, const load_update& message);
   void SetRetryLimits(const retry_limits& limits) { budget_.SetLimits(limits); }
   std::size_t size() const { return calls_.size(); }
 
--- a/calls/target_internals.h
+++ b/calls/target_internals.h
@@ -51,6 +51,9 @@
   }
   bool idle() const { return running_ == 0 && queue_.empty(); }
   load_report Load(const std::string& route = "") const;
+  // Returns how long work takes at the instance now, in percent of the usual
+  // time; 0 if the instance does not state it.
+  std::uint32_t SpeedPercent() const { return 0; }
 
  private:
   refusal_reason FindRefusal(const call_request& message,
--- a/calls/target_runs.cc
+++ b/calls/target_runs.cc
@@ -139,6 +139,8 @@
 void target_internals::EndAttempt(const call_id& id, call_answer answer) {
   const table_entry& call = *table_.Find(id);
   const host_address from = call.sender;
+  answer.held_us =
+      static_cast<std::uint32_t>((clock_.Now() - call.arrived_at).count());
   answer.load = Load(call.message->route);
   const auto shared_answer =
       std::make_shared<const call_answer>(std::move(answer));
--- a/calls/wait_queue.cc
+++ b/calls/wait_queue.cc
@@ -77,6 +77,24 @@
   return popped;
 }
 
+std::vector<waiting_group> wait_queue::CountByPriority() const {
+  // Must match schema/messages.toml.
+  constexpr std::size_t kMaxGroups = 16;
+  std::map<std::uint32_t, std::uint32_t> counts;
+  for (const waiting_call& call : calls_) {
+    ++counts[call.priority];
+  }
+  std::vector<waiting_group> groups;
+  for (const auto& [priority, calls] : counts) {
+    if (groups.size() < kMaxGroups) {
+      groups.push_back({.priority = priority, .calls = calls});
+    } else {
+      groups.back().calls += calls;
+    }
+  }
+  return groups;
+}
+
 void wait_queue::Enqueue(waiting_call candidate) {
   candidate.arrival_number = ++last_arrival_number_;
   calls_.insert(candidate);
--- a/calls/wait_queue.h
+++ b/calls/wait_queue.h
@@ -55,6 +55,10 @@
   std::vector<waiting_call> List() const {
     return {calls_.begin(), calls_.end()};
   }
+  // Returns the number of calls by priority, most urgent first. The calls of
+  // the least urgent ones count as one group if there are too many groups for a
+  // load report.
+  std::vector<waiting_group> CountByPriority() const;
   // Removes and returns the calls that are not expected to end within `left`.
   std::vector<waiting_call> PopCallsThatOutlast(
       duration left,
--- a/daemon/admin_pages.cc
+++ b/daemon/admin_pages.cc
@@ -145,9 +145,11 @@
     status = control_.Status();
   }
   load_report load;
+  std::uint64_t load_updates_sent = 0;
   {
     const std::lock_guard lock(target_mutex_);
     load = target_.Load();
+    load_updates_sent = load_push_.pushes();
   }
   std::ostringstream page;
   page << metrics_.RenderPrometheusText();
@@ -183,6 +185,12 @@
   add_metric("bad_frames_total", "counter",
              "Frames from peers that were rejected.",
              static_cast<double>(counters.bad_frames));
+  add_metric("load_updates_sent_total", "counter",
+             "Load reports pushed to daemons that called lately.",
+             static_cast<double>(load_updates_sent));
+  add_metric("load_updates_received_total", "counter",
+             "Load reports that targets pushed to this daemon.",
+             static_cast<double>(load_updates_received_));
   add_metric("log_lines_dropped_total", "counter",
              "Log lines dropped, apart from good calls over their log rate.",
              static_cast<double>(log_.dropped()));
--- a/daemon/call_wiring.cc
+++ b/daemon/call_wiring.cc
@@ -24,6 +24,7 @@
   }
   asio::post(context_, [this, to, message = std::move(message)]() mutable {
     const std::lock_guard lock(target_mutex_);
+    load_push_.OnCall(to, clock_.Now());
     target_.OnCall(to, std::move(message));
   });
 }
@@ -73,6 +74,7 @@
 
 void daemon_internals::SendAnswer(const host_address& to,
                                   std::shared_ptr<const call_answer> message) {
+  load_push_.OnAnswer(to, message->load, clock_.Now());
   if (!IsSelf(to)) {
     mesh_.Send(to, *message, send_mode::kReply);
     return;
@@ -83,4 +85,24 @@
   });
 }
 
+// Sends the load of the instance to the daemons that should know of its change.
+// The caller holds target_mutex_.
+void daemon_internals::PushLoad() {
+  if (draining_) {
+    return;
+  }
+  const load_update update{.load = target_.Load()};
+  for (const host_address& to :
+       load_push_.TakeReceivers(update.load, clock_.Now())) {
+    if (!IsSelf(to)) {
+      mesh_.Send(to, update, send_mode::kReply);
+      continue;
+    }
+    asio::post(context_, [this, to, update] {
+      const std::lock_guard lock(sender_mutex_);
+      sender_.OnLoadUpdate(to, update);
+    });
+  }
+}
+
 }  // namespace parsleyyard
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -195,6 +195,7 @@
   }
   const std::lock_guard lock(target_mutex_);
   target_.Tick();
+  PushLoad();
 }
 
 void daemon_internals::FlushLog() {
--- a/daemon/daemon_internals.h
+++ b/daemon/daemon_internals.h
@@ -15,6 +15,7 @@
 #ifndef PARSLEYYARD_DAEMON_DAEMON_INTERNALS_H_
 #define PARSLEYYARD_DAEMON_DAEMON_INTERNALS_H_
 
+#include "calls/load_push.h"
 #include "daemon/caller_gate.h"
 #include "daemon/daemon.h"
 #include "daemon/event_log.h"
@@ -118,6 +119,7 @@
                        duration interval,
                        periodic_function action);
   void Tick();
+  void PushLoad();
   void OpenMissingLinks();
   void FlushLog();
   stop_plan PlanThisStop() const;
@@ -170,6 +172,8 @@
   call_sender sender_;
   std::mutex target_mutex_;
   call_target target_;
+  load_push load_push_{load_push_options()};  // guarded by target_mutex_
+  std::atomic<std::uint64_t> load_updates_received_{0};
 
   asio::steady_timer tick_timer_;
   asio::steady_timer link_timer_;
--- a/daemon/metrics.cc
+++ b/daemon/metrics.cc
@@ -56,6 +56,10 @@
   const std::lock_guard lock(mutex_);
   ++call_counts_[{record.service, record.priority, record.outcome,
                   record.reason}];
+  if (record.outcome == call_outcome::kNotRun &&
+      record.reason == refusal_reason::kOverloaded && record.attempts == 0) {
+    ++unsent_counts_[{record.service, record.priority}];
+  }
   if (record.outcome == call_outcome::kAnswer) {
     auto& histogram = latency_histograms_[{record.service, record.priority}];
     if (histogram == nullptr) {
@@ -95,6 +99,13 @@
          << priority << "\",outcome=\"" << NameOf(outcome) << "\",reason=\""
          << NameOf(reason) << "\"} " << count << "\n";
   }
+  page << "# HELP parsleyyard_calls_without_capacity_total Calls refused "
+          "without an attempt, since no instance was expected to have room.\n"
+       << "# TYPE parsleyyard_calls_without_capacity_total counter\n";
+  for (const auto& [key, count] : unsent_counts_) {
+    page << "parsleyyard_calls_without_capacity_total{service=\"" << key.first
+         << "\",priority=\"" << key.second << "\"} " << count << "\n";
+  }
   page << "# HELP parsleyyard_rejected_requests_total Requests that the HTTP "
           "server ended by itself.\n"
        << "# TYPE parsleyyard_rejected_requests_total counter\n";
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -61,6 +61,9 @@
   std::map<call_counter_key, std::uint64_t> call_counts_;
   std::map<std::pair<std::uint16_t, std::string>, std::uint64_t>
       rejection_counts_;  // by status and cause
+  // Calls that were not sent because no instance was expected to have room, by
+  // service and priority.
+  std::map<std::pair<std::string, std::uint32_t>, std::uint64_t> unsent_counts_;
   std::map<std::pair<std::string, std::uint32_t>,
            std::unique_ptr<latency_histogram>>
       latency_histograms_;                // by service and priority
--- a/daemon/peer_wiring.cc
+++ b/daemon/peer_wiring.cc
@@ -50,6 +50,9 @@
   if (auto* call = std::get_if<call_request>(&message)) {
     auto shared = std::make_shared<const call_request>(std::move(*call));
     const std::lock_guard lock(target_mutex_);
+    if (shared->wants_load) {
+      load_push_.OnCall(from, clock_.Now());
+    }
     target_.OnCall(from, std::move(shared));
   } else if (auto* answer = std::get_if<call_answer>(&message)) {
     const std::lock_guard lock(sender_mutex_);
@@ -60,6 +63,10 @@
   } else if (const auto* cancel = std::get_if<call_cancel>(&message)) {
     const std::lock_guard lock(target_mutex_);
     target_.OnCancel(*cancel);
+  } else if (const auto* load = std::get_if<load_update>(&message)) {
+    ++load_updates_received_;
+    const std::lock_guard lock(sender_mutex_);
+    sender_.OnLoadUpdate(from, *load);
   } else if (auto* update = std::get_if<view_update>(&message)) {
     const std::lock_guard lock(control_mutex_);
     control_.OnUpdate(std::move(*update));
--- a/model/messages_generated.h
+++ b/model/messages_generated.h
@@ -149,13 +149,15 @@
   call_id id;  // id of the attempt
   std::uint64_t target_incarnation =
       0;  // the only incarnation of the receiver that may run the call
-  std::string instance;            // id of the instance that must run the call
-  std::string service;             // service name
-  std::string route;               // route name
-  std::string request_id;          // the caller's id of the request, for logs
-  std::uint32_t priority = 0;      // 0: most urgent
-  bool never_repeat = false;       // the call may run at most once
-  std::uint64_t sent_ms = 0;       // when sent, by the clock of its sender
+  std::string instance;        // id of the instance that must run the call
+  std::string service;         // service name
+  std::string route;           // route name
+  std::string request_id;      // the caller's id of the request, for logs
+  std::uint32_t priority = 0;  // 0: most urgent
+  bool never_repeat = false;   // the call may run at most once
+  std::uint64_t sent_ms = 0;   // when sent, by the clock of its sender
+  bool wants_load = false;  // the sender is in the region of the receiver and
+                            // wants load updates for the next seconds
   std::uint32_t deadline_ms = 0;   // time left until the deadline when sent
   std::uint32_t objective_ms = 0;  // time left within the latency objective; 0:
                                    // the response is late already
@@ -166,6 +168,13 @@
   bool operator==(const call_request&) const = default;
 };
 
+// Calls of one priority that wait for an instance.
+struct waiting_group {
+  std::uint32_t priority = 0;  // 0: most urgent
+  std::uint32_t calls = 0;     // number of calls
+  bool operator==(const waiting_group&) const = default;
+};
+
 // Load of an instance as its daemon measures it.
 struct load_report {
   std::uint32_t running = 0;  // calls that the instance is running
@@ -178,9 +187,22 @@
   std::uint32_t rejected_percent =
       0;  // percentage of recent calls that the instance failed or rejected
   bool leaving = false;  // the daemon or the instance is draining
+  std::uint32_t speed_percent =
+      0;  // how long work takes at the instance now, in percent of the usual
+          // time; 0: the instance does not state it
+  std::vector<waiting_group>
+      waiting_by_priority;  // the waiting calls, most urgent first; empty if
+                            // the instance does not state its speed
   bool operator==(const load_report&) const = default;
 };
 
+// Load of the instance beside the sender, for a daemon that called it in the
+// last seconds.
+struct load_update {
+  load_report load;  // load of the instance
+  bool operator==(const load_update&) const = default;
+};
+
 // The result of an attempt.
 struct call_answer {
   call_id id;  // id of the attempt
@@ -190,7 +212,10 @@
   bool reached_instance = false;  // the request reached the instance, whether
                                   // the instance ran it or not
   std::uint16_t status = 0;       // HTTP status of the response
-  load_report load;               // load of the instance
+  std::uint32_t held_us =
+      0;  // time from the arrival of the call at the target until this answer,
+          // in microseconds; 0: not measured
+  load_report load;                  // load of the instance
   std::vector<call_header> headers;  // header fields of the response
   std::string body;                  // complete response body
   bool operator==(const call_answer&) const = default;
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -40,5 +40,22 @@
   EXPECT_EQ(page.find("_bucket{"), std::string::npos);
 }
 
+// An operator tells calls that no instance had room for from calls that targets
+// refused.
+TEST(Metrics, CallsWithoutCapacityAreThoseThatWereNotSent) {
+  metrics call_metrics;
+  call_record record{.service = "agenda",
+                     .priority = 1,
+                     .outcome = call_outcome::kNotRun,
+                     .reason = refusal_reason::kOverloaded};
+  call_metrics.OnCall(record);
+  record.attempts = 2;
+  call_metrics.OnCall(record);
+  const std::string labels = R"({service="agenda",priority="1"} 1)";
+  EXPECT_NE(call_metrics.RenderPrometheusText().find(
+                "parsleyyard_calls_without_capacity_total" + labels),
+            std::string::npos);
+}
+
 }  // namespace
 }  // namespace parsleyyard
--- a/wire/codec_generated.h
+++ b/wire/codec_generated.h
@@ -12,13 +12,14 @@
 namespace parsleyyard {
 
 // Format version of all messages; a peer with a different version is refused.
-inline constexpr std::uint16_t kFormatVersion = 5;
+inline constexpr std::uint16_t kFormatVersion = 6;
 
 // Any message that daemons send to each other.
 using any_message = std::variant<link_hello,
                                  link_probe,
                                  view_update,
                                  call_request,
+                                 load_update,
                                  call_answer,
                                  call_attach,
                                  call_cancel,
@@ -84,6 +85,7 @@
   archive(value.priority);
   archive(checked_bool{value.never_repeat});
   archive(value.sent_ms);
+  archive(checked_bool{value.wants_load});
   archive(value.deadline_ms);
   archive(value.objective_ms);
   archive(bounded_string{value.method, 65536});
@@ -92,6 +94,12 @@
   archive(bounded_string{value.body, 12000000});
 }
 
+template <class Archive>
+void serialize(Archive& archive, waiting_group& value) {
+  archive(value.priority);
+  archive(value.calls);
+}
+
 template <class Archive>
 void serialize(Archive& archive, load_report& value) {
   archive(value.running);
@@ -101,6 +109,13 @@
   archive(value.route_us);
   archive(value.rejected_percent);
   archive(checked_bool{value.leaving});
+  archive(value.speed_percent);
+  archive(bounded_list{value.waiting_by_priority, 16});
+}
+
+template <class Archive>
+void serialize(Archive& archive, load_update& value) {
+  archive(value.load);
 }
 
 template <class Archive>
@@ -110,6 +125,7 @@
   archive(checked_enum{value.reason, 23});
   archive(checked_bool{value.reached_instance});
   archive(value.status);
+  archive(value.held_us);
   archive(value.load);
   archive(bounded_list{value.headers, 100});
   archive(bounded_string{value.body, 12000000});
