Choose instances by their free capacity, with pushed load reports

A target whose instance states its speed pushes its load (load_update) to the daemons of its region that called it in the last seconds, when it changes materially, at most every 100 ms and at most as often as it is called. Senders draw two instances with free capacity at random, by weight, and take the better one. A call that all instances are expected to refuse is not sent. Calls that may leave the region do so early where a class is bound to it, as long as the measured delay between the regions is low.

--- a/calls/call_target.cc
+++ b/calls/call_target.cc
@@ -31,8 +31,7 @@
       .rejected_percent = watch_.down() ? 100 : watch_.rejected_percent(),
       .leaving = draining_,
       .speed_percent = SpeedPercent(),
-      .waiting_by_priority = SpeedPercent() > 0 ? queue_.CountByPriority()
-                                                : std::vector<waiting_group>()};
+      .waiting_by_priority = queue_.CountByPriority()};
 }
 
 void target_internals::ReportEvent(const call_request& message,
--- a/calls/load_push.cc
+++ b/calls/load_push.cc
@@ -1,7 +1,6 @@
 #include "calls/load_push.h"
 
 #include <algorithm>
-#include <bit>
 
 namespace parsleyyard {
 
@@ -21,11 +20,18 @@
   return difference > 0 && difference * 5 >= std::min(a, b);
 }
 
-// Returns 0 for an empty queue, 1 for one of up to as many calls as there are
-// slots, and one more for each doubling.
+// Returns 0 for an empty queue, 1 for one of up to half as many calls as there
+// are slots, and one more for each growth by half.
 int QueueLevel(std::uint32_t waiting, std::uint32_t limit) {
-  return waiting == 0 ? 0
-                      : 1 + std::bit_width((waiting - 1) / std::max(1U, limit));
+  int level = 0;
+  for (double bound = std::max(1U, limit) / 2.0 + 1; waiting > 0;
+       bound *= 1.5) {
+    ++level;
+    if (waiting < bound) {
+      break;
+    }
+  }
+  return level;
 }
 
 std::uint32_t CountUpTo(const load_report& load, std::uint32_t priority) {
@@ -89,8 +95,10 @@
     return {};
   }
   for (auto it = receivers_.begin(); it != receivers_.end(); ++it) {
-    if (now - it->second.told_at >= options_.min_interval &&
-        IsMaterialChange(it->second.told, load)) {
+    const duration age = now - it->second.told_at;
+    const bool refresh = age >= options_.refresh_interval && !HasFreeSlot(load);
+    if (refresh || (age >= options_.min_interval &&
+                    IsMaterialChange(it->second.told, load))) {
       due.push_back(it);
     }
   }
--- a/calls/load_push.h
+++ b/calls/load_push.h
@@ -21,9 +21,14 @@
 
 struct load_push_options {
   duration min_interval = milliseconds(100);  // between reports to one daemon
-  duration window = seconds(2);  // from its last call, a daemon gets pushes
-  double max_per_call = 2;       // pushes on average
-  double max_burst = 128;        // pushes
+  // From its last call, a daemon gets pushes. Daemons that know the instance to
+  // be full don't call it.
+  duration window = seconds(10);
+  // A busy instance is reported again after this long, since senders take one
+  // without recent reports for idle.
+  duration refresh_interval = seconds(1);
+  double max_per_call = 1;  // pushes on average
+  double max_burst = 128;   // pushes
 };
 
 class load_push {
--- a/calls/pending_calls.h
+++ b/calls/pending_calls.h
@@ -40,7 +40,8 @@
   instant objective{};
   std::set<host_address> tried_hosts;
   std::uint32_t attempts = 0;           // targets chosen so far
-  std::uint32_t overload_refusals = 0;  // attempts that targets had no room for
+  // Attempts that targets which state their instance's speed had no room for.
+  std::uint32_t overload_refusals = 0;
   // Number of instances that the ended attempts may have reached.
   std::uint32_t reached_instances = 0;
   call_attempt current;  // the attempt that the latest event was about
--- a/calls/placement.cc
+++ b/calls/placement.cc
@@ -10,6 +10,9 @@
 // instance has ended most of the calls that the report counted. The reported
 // limit and service times stay in use.
 constexpr duration kReportLifetime = std::chrono::milliseconds(1000);
+// The same for a report of an instance that states its speed: while it is busy,
+// its daemon pushes a report at least each second (load_push_options).
+constexpr duration kPushedReportLifetime = std::chrono::milliseconds(2500);
 // Service time of a service of which no instance has reported.
 constexpr duration kDefaultServiceTime = std::chrono::milliseconds(100);
 // Service time of an instance that has not reported. It is short, so that a new
@@ -184,7 +187,9 @@
 }
 
 bool placement::IsCurrent(const host_load& load, instant now) {
-  return load.report.limit > 0 && now - load.reported_at < kReportLifetime;
+  const duration lifetime =
+      load.report.speed_percent > 0 ? kPushedReportLifetime : kReportLifetime;
+  return load.report.limit > 0 && now - load.reported_at < lifetime;
 }
 
 // Returns the number of calls that the instance runs or keeps waiting, as far
@@ -305,9 +310,10 @@
   const auto instances = view.by_service.find(plan.service);
   if (instances != view.by_service.end() &&
       StateTheirSpeed(instances->second)) {
-    const std::vector<paced_candidate> evaluated =
+    const paced_view evaluated =
         EvaluatePaced(view, plan, left, tried_hosts, now);
-    const paced_candidate* paced = ChoosePaced(evaluated, left);
+    const paced_candidate* paced =
+        ChoosePaced(evaluated, view, plan, left, now);
     return paced ? std::optional(ToChosen(*paced->target)) : std::nullopt;
   }
   const candidates best_by_tier = FindBestByTier(view, plan, tried_hosts, now);
--- a/calls/placement.h
+++ b/calls/placement.h
@@ -86,6 +86,9 @@
   // Records that the host refused a call of that route because it is full. It
   // gets no other one until some of its calls have ended.
   void OnFull(const host_address& host, const std::string& route, instant now);
+  // Returns true if the last load report of the host stated the speed of its
+  // instance.
+  bool StatesSpeed(const host_address& host) const;
   // Returns true if the last load report of the host announced that its daemon
   // stops.
   bool HasAnnouncedStop(const host_address& host) const;
@@ -173,7 +176,9 @@
   struct paced_candidate {
     const known_instance* target = nullptr;
     std::size_t tier = 0;
-    bool is_free = false;        // a slot is free
+    bool is_free = false;     // a slot is free
+    std::uint32_t limit = 1;  // slots
+    std::uint32_t in_progress = 0;
     bool shunned = false;        // fails calls, leaves or is avoided
     bool report_is_new = false;  // recent enough to rely on a refusal
     duration wait{};             // expected until the call starts
@@ -182,22 +187,39 @@
     double weight = 0;           // calls a second that it has room for
     std::uint64_t tie_breaker = 0;
   };
+  // Instances that may get a call, and how full those in the region are.
+  struct paced_view {
+    std::vector<paced_candidate> candidates;
+    double slots = 0;        // in the region, also of hosts that refuse calls
+    double in_progress = 0;  // calls there, running or waiting
+  };
+  // What the routes that lead to a service have in common.
+  struct service_routes {
+    std::uint32_t first_priority = 0;  // of the most urgent route
+    bool bound_to_region = false;  // a route has this region alone as its home
+  };
   using pool = std::vector<const paced_candidate*>;
   bool StateTheirSpeed(const std::vector<const known_instance*>& targets) const;
-  std::vector<paced_candidate> EvaluatePaced(
-      const snapshot& view,
-      const call_plan& plan,
-      const call_time& left,
-      const std::set<host_address>& tried_hosts,
-      instant now) const;
+  paced_view EvaluatePaced(const snapshot& view,
+                           const call_plan& plan,
+                           const call_time& left,
+                           const std::set<host_address>& tried_hosts,
+                           instant now) const;
   paced_candidate Evaluate(const known_instance& target,
                            const call_plan& plan,
                            const call_time& left,
                            duration mean_service_time,
                            instant now) const;
-  const paced_candidate* ChoosePaced(
-      const std::vector<paced_candidate>& evaluated,
-      const call_time& left);
+  const paced_candidate* ChoosePaced(const paced_view& evaluated,
+                                     const snapshot& view,
+                                     const call_plan& plan,
+                                     const call_time& left,
+                                     instant now);
+  const service_routes& RoutesOf(const snapshot& view,
+                                 const std::string& service);
+  double SpillShare(const paced_view& evaluated, instant now) const;
+  const paced_candidate* ChooseElsewhere(const paced_view& evaluated,
+                                         const call_time& left);
   const paced_candidate* DrawOne(const pool& from);
   const paced_candidate* DrawTwoChoices(const pool& from);
 
@@ -206,6 +228,8 @@
   std::unordered_map<host_address, host_load> loads_;
   duration link_delay_{};  // mean delay between regions beyond the usual
   instant link_delay_at_{};
+  std::shared_ptr<const configuration> routes_from_;
+  std::map<std::string, service_routes> routes_by_service_;
 };
 
 }  // namespace parsleyyard
--- a/calls/sender_outcomes.cc
+++ b/calls/sender_outcomes.cc
@@ -13,9 +13,10 @@
 // Daemons that one call is sent to. More attempts would only keep the caller
 // waiting.
 constexpr std::uint32_t kMaxAttempts = 6;
-// Targets that may refuse one call for lack of room. Each refusal costs the
-// caller time, and a third target is hardly less full than two that were chosen
-// as the best.
+// Targets that may refuse one call for lack of room, if they state the speed of
+// their instances: then they also push their load, so that a third one is hardly
+// less full than two that were chosen by it. Without pushes, a further target is
+// worth its time, since the sender knows little of it.
 constexpr std::uint32_t kMaxOverloadRefusals = 2;
 // Time for which calls avoid a host whose instance leaves. By then, the view
 // lists the instance as draining, or another one in its place.
@@ -74,7 +75,7 @@
     placement_.Avoid(host, now + kInstanceLeavingAvoidTime);
   } else if (reason == refusal_reason::kOverloaded) {
     placement_.OnFull(host, call.plan.route, now);
-    ++call.overload_refusals;
+    call.overload_refusals += placement_.StatesSpeed(host) ? 1 : 0;
   } else if (!call.recalled) {
     placement_.Avoid(host, now + kFailureAvoidTime);
   }
--- a/model/messages_generated.h
+++ b/model/messages_generated.h
@@ -191,8 +191,7 @@
       0;  // how long work takes at the instance now, in percent of the usual
           // time; 0: the instance does not state it
   std::vector<waiting_group>
-      waiting_by_priority;  // the waiting calls, most urgent first; empty if
-                            // the instance does not state its speed
+      waiting_by_priority;  // the waiting calls, most urgent first
   bool operator==(const load_report&) const = default;
 };
 
--- a/tests/refusal_test.cc
+++ b/tests/refusal_test.cc
@@ -8,6 +8,12 @@
 
 class refusal_fixture : public sender_fixture {
  protected:
+  // Refuses the latest attempt, as a target whose instance states its speed.
+  void RefuseAsFull() {
+    Answer({.outcome = call_outcome::kNotRun,
+            .reason = refusal_reason::kOverloaded,
+            .load = {.running = 2, .limit = 2, .speed_percent = 100}});
+  }
   void TickUntil(instant end) {
     while (clock_.now < end) {
       clock_.now += milliseconds(10);
@@ -47,15 +53,24 @@
 // objective passes.
 TEST_F(refusal_fixture, SecondRefusalForLackOfRoomEndsTheCall) {
   Begin(1);
-  Refuse(refusal_reason::kOverloaded);
+  RefuseAsFull();
   EXPECT_FALSE(results_.contains(1));
-  Refuse(refusal_reason::kOverloaded);
+  RefuseAsFull();
   ASSERT_TRUE(results_.contains(1));
   EXPECT_EQ(sent_.size(), 2U);
   EXPECT_EQ(results_[1].outcome, call_outcome::kNotRun);
   EXPECT_EQ(results_[1].reason, refusal_reason::kOverloaded);
 }
 
+// Guards against fewer served calls where targets push no load: a third daemon
+// often has room that the sender does not know of.
+TEST_F(refusal_fixture, WithoutStatedSpeedCallsGoOnAfterTwoRefusals) {
+  Begin(1);
+  Refuse(refusal_reason::kOverloaded);
+  Refuse(refusal_reason::kOverloaded);
+  EXPECT_EQ(sent_.size(), 3U);
+}
+
 // Guards against an attempt beside a slow one that a third host refuses.
 TEST_F(refusal_fixture, SlowAttemptAfterTwoRefusalsGetsNoSecondOne) {
   FillRetryBudget(100);
@@ -63,9 +78,9 @@
   clock_.now += milliseconds(450);
   sender_->Tick();
   ASSERT_EQ(sent_.size(), 2U);
-  Refuse(refusal_reason::kOverloaded);
+  RefuseAsFull();
   ASSERT_EQ(sent_.size(), 3U);
-  Refuse(refusal_reason::kOverloaded);
+  RefuseAsFull();
   EXPECT_FALSE(results_.contains(1)) << "the slow attempt goes on";
   TickUntil(clock_.now + milliseconds(300));
   EXPECT_EQ(sent_.size(), 3U);
