--- a/calls/pending_calls.h
+++ b/calls/pending_calls.h
@@ -23,6 +23,8 @@
   std::string instance;
   std::uint64_t target_incarnation = 0;
   std::uint64_t sequence = 0;  // number of the attempt; 0: not sent yet
+  bool leaves_region = false;  // the target is in another region
+  instant sent_at{};
   instant connect_deadline{};  // latest time for the link to open
   instant silence_deadline{};  // from then on, the attempt counts as slow
   instant next_reconnect{};    // time of the next try to open a lost link
@@ -38,7 +40,8 @@
   instant objective{};
   std::set<host_address> tried_hosts;
   std::uint32_t attempts = 0;           // targets chosen so far
-  std::uint32_t overload_refusals = 0;  // attempts that targets had no room for
+  // Attempts that targets which state their instance's speed had no room for.
+  std::uint32_t overload_refusals = 0;
   // Number of instances that the ended attempts may have reached.
   std::uint32_t reached_instances = 0;
   call_attempt current;  // the attempt that the latest event was about
--- a/calls/target_pace.cc
+++ b/calls/target_pace.cc
@@ -30,6 +30,16 @@
           .cuts = ramp_up_.Cuts()};
 }
 
+std::uint32_t target_internals::SpeedPercent() const {
+  const instance_speed& speed = watch_.Speed();
+  if (!speed.IsStated()) {
+    return 0;
+  }
+  constexpr double kPercent = 100;
+  return std::max(1U, static_cast<std::uint32_t>(
+                          speed.Factor(clock_.Now()) * kPercent));
+}
+
 // Orders the waiting calls by the present speed of the instance.
 void target_internals::FollowSpeed(instant now) {
   const double factor = watch_.Speed().Factor(now);
--- a/daemon/daemon_internals.h
+++ b/daemon/daemon_internals.h
@@ -16,6 +16,7 @@
 #ifndef PARSLEYYARD_DAEMON_DAEMON_INTERNALS_H_
 #define PARSLEYYARD_DAEMON_DAEMON_INTERNALS_H_
 
+#include "calls/load_push.h"
 #include "daemon/caller_gate.h"
 #include "daemon/daemon.h"
 #include "daemon/event_log.h"
@@ -123,6 +124,7 @@
                        duration interval,
                        periodic_function action);
   void Tick();
+  void PushLoad();
   void OpenMissingLinks();
   void FlushLog();
   void LogMemoryRefusals();
@@ -184,6 +186,8 @@
   call_sender sender_;
   std::mutex target_mutex_;
   call_target target_;
+  load_push load_push_{load_push_options()};  // guarded by target_mutex_
+  std::atomic<std::uint64_t> load_updates_received_{0};
 
   asio::steady_timer tick_timer_;
   asio::steady_timer link_timer_;
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -72,6 +72,9 @@
   // By workspace; "(other)" counts those beyond the bound on their number.
   std::map<std::string, std::map<std::string, std::uint64_t, std::less<>>>
       quota_counts_;
+  // Calls that were not sent because no instance was expected to have room, by
+  // service and priority.
+  std::map<std::pair<std::string, std::uint32_t>, std::uint64_t> unsent_counts_;
   std::map<std::pair<std::string, std::uint32_t>,
            std::unique_ptr<latency_histogram>>
       latency_histograms_;  // by service and priority
