--- a/tests/workspaces_test.cc
+++ b/tests/workspaces_test.cc
@@ -252,7 +252,7 @@
 
   // Descriptions of requests that ran too late.
   const std::vector<std::string>& Violations() const { return violations_; }
-  int accepted() const { return accepted_; }
+  int AcceptedRequests() const { return accepted_; }
 
  private:
   void Run(duration length) {
@@ -317,7 +317,7 @@
                    .daemon = numbers[1] % kDaemons,
                    .pause_ms = numbers[2] % 2500});
     }
-    RC_ASSERT(world.accepted() > 0);
+    RC_ASSERT(world.AcceptedRequests() > 0);
     if (!world.Violations().empty()) {
       RC_FAIL(world.Violations().front());
     }
