--- a/tests/caller_gate_test.cc
+++ b/tests/caller_gate_test.cc
@@ -46,6 +46,23 @@
       << page;
 }
 
+// Guards against clients that take a refusal for lack of memory as final, or
+// come back at once.
+TEST_F(gate_fixture, RequestWithoutMemoryMayBeSentAgainLater) {
+  SetView({});
+  const auto response =
+      gate_->OnRejected({.status = 503, .cause = rejection_cause::kNoMemory});
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->status, 503);
+  EXPECT_EQ(*FindHeader(response->headers, "x-parsleyyard-outcome"), "not_run");
+  EXPECT_EQ(*FindHeader(response->headers, "x-parsleyyard-reason"),
+            "overloaded");
+  EXPECT_EQ(*FindHeader(response->headers, "retry-after"), "1.000");
+  EXPECT_NE(metrics_.RenderPrometheusText().find(
+                R"(status="503",cause="no_memory"} 1)"),
+            std::string::npos);
+}
+
 TEST_F(gate_fixture, DisconnectOfCallerLeavesLineWithStepsOfItsCall) {
   SetView({});
   gate_->SetCallbacks(
