--- a/calls/call_sender.cc
+++ b/calls/call_sender.cc
@@ -27,7 +27,8 @@
   call.deadline = now + plan.deadline;
   call.objective = now + plan.objective;
   LimitToEnd(call);
-  call.recall_waiting_at = RecallTime(call);
+  call.recall_waiting_at =
+      call.deadline - std::min(kRecallLead, (call.deadline - now) / 4);
   budget_.OnRequest(plan.service, now);
   StartAttempt(call, refusal_reason::kNoUpstream);
 }
@@ -196,18 +197,6 @@
                                              *view_.Current(), call.plan));
 }
 
-// Returns the time from which a call that still waits at its target can't end
-// by its deadline. The answer of the target must arrive while the caller
-// listens.
-instant sender_internals::RecallTime(const pending_call& call) const {
-  const duration left = call.deadline - clock_.Now();
-  const duration mean_service_time =
-      placement_.MeanServiceTime(*view_.Current(), call.plan);
-  return call.deadline -
-         std::min(std::clamp(mean_service_time, kMinRecallLead, kMaxRecallLead),
-                  left / 4);
-}
-
 // Asks the targets to refuse the attempts that have not started. Their answers
 // end the call, or its deadline does if one is lost.
 void sender_internals::Recall(pending_call& call) {
--- a/calls/load_push.h
+++ b/calls/load_push.h
@@ -44,7 +44,7 @@
   // 20 ms.
   std::vector<host_address> TakeReceivers(const load_report& load, instant now);
   // Returns the number of pushes so far.
-  std::uint64_t pushes() const { return pushes_; }
+  std::uint64_t CountPushes() const { return pushes_; }
 
  private:
   struct receiver {
--- a/calls/pending_calls.h
+++ b/calls/pending_calls.h
@@ -39,7 +39,7 @@
   instant deadline{};
   instant objective{};
   std::set<host_address> tried_hosts;
-  std::uint32_t attempts = 0;           // targets chosen so far
+  std::uint32_t attempts = 0;  // targets chosen so far
   // Attempts that targets which state their instance's speed had no room for.
   std::uint32_t overload_refusals = 0;
   // Number of instances that the ended attempts may have reached.
--- a/calls/placement.cc
+++ b/calls/placement.cc
@@ -363,10 +363,12 @@
       continue;
     }
     const host_load& load = found->second;
-    const double calls_per_us = static_cast<double>(LimitOf(load, *target)) /
-                                ServiceTime(load, plan.route).count();
-    weighted_us +=
-        calls_per_us * TimeUntilRoom(load, *target, plan, now).count();
+    const auto service_us =
+        static_cast<double>(ServiceTime(load, plan.route).count());
+    const auto until_room_us =
+        static_cast<double>(TimeUntilRoom(load, *target, plan, now).count());
+    const double calls_per_us = LimitOf(load, *target) / service_us;
+    weighted_us += calls_per_us * until_room_us;
     weights += calls_per_us;
   }
   return weights > 0 ? duration(duration::rep(weighted_us / weights))
--- a/calls/sender_internals.h
+++ b/calls/sender_internals.h
@@ -31,12 +31,10 @@
 // the target and for the response to the caller.
 inline constexpr duration kMinRecallTime = std::chrono::milliseconds(300);
 
-// Limits of the time before its deadline at which a call that still waits at
-// its target is recalled. The lower one is the round trip to another region and
-// one tick at either end. Within them it is the mean service time, since a call
-// that starts later than that ends too late.
-inline constexpr duration kMinRecallLead = std::chrono::milliseconds(60);
-inline constexpr duration kMaxRecallLead = std::chrono::milliseconds(90);
+// Time before its deadline at which a call that still waits at its target is
+// recalled. It suffices for a round trip to another region, a tick at either
+// end and the response to the caller.
+inline constexpr duration kRecallLead = std::chrono::milliseconds(80);
 
 // A cancel that waits for the lost link to the target.
 struct owed_cancel {
@@ -102,7 +100,6 @@
   bool TryAcquireRetry(const pending_call& call, retry_kind kind);
   void CancelAttempt(const pending_call& call, const call_attempt& attempt);
   void LimitToEnd(pending_call& call);
-  instant RecallTime(const pending_call& call) const;
   void Recall(pending_call& call);
   void RecallAttempt(const call_attempt& attempt);
   void Finish(pending_call& call, call_result result);
--- a/calls/sender_outcomes.cc
+++ b/calls/sender_outcomes.cc
@@ -14,9 +14,9 @@
 // waiting.
 constexpr std::uint32_t kMaxAttempts = 6;
 // Targets that may refuse one call for lack of room, if they state the speed of
-// their instances: then they also push their load, so that a third one is hardly
-// less full than two that were chosen by it. Without pushes, a further target is
-// worth its time, since the sender knows little of it.
+// their instances: then they also push their load, so that a third one is
+// hardly less full than two that were chosen by it. Without pushes, a further
+// target is worth its time, since the sender knows little of it.
 constexpr std::uint32_t kMaxOverloadRefusals = 2;
 // Time for which calls avoid a host whose instance leaves. By then, the view
 // lists the instance as draining, or another one in its place.
--- a/daemon/admin_pages.cc
+++ b/daemon/admin_pages.cc
@@ -149,7 +149,7 @@
   {
     const std::lock_guard lock(target_mutex_);
     load = target_.Load();
-    load_updates_sent = load_push_.pushes();
+    load_updates_sent = load_push_.CountPushes();
   }
   std::ostringstream page;
   page << metrics_.RenderPrometheusText();
--- a/tests/load_push_test.cc
+++ b/tests/load_push_test.cc
@@ -45,7 +45,7 @@
   EXPECT_EQ(PushesAfter(milliseconds(100), Full()), 1U);
   EXPECT_EQ(PushesAfter(milliseconds(100), Full()), 0U);
   EXPECT_EQ(PushesAfter(milliseconds(100), Free()), 1U);
-  EXPECT_EQ(push_.pushes(), 2U);
+  EXPECT_EQ(push_.CountPushes(), 2U);
 }
 
 // Guards against bytes between zones for loads that go to and fro.
@@ -126,8 +126,9 @@
     }
   }
   const load_push_options options;
-  EXPECT_LE(push_.pushes(), calls * options.max_per_call + options.max_burst);
-  EXPECT_GE(push_.pushes(), calls * options.max_per_call / 2);
+  EXPECT_LE(push_.CountPushes(),
+            calls * options.max_per_call + options.max_burst);
+  EXPECT_GE(push_.CountPushes(), calls * options.max_per_call / 2);
   const auto told = push_.TakeReceivers(Full(), now_ + milliseconds(100));
   ASSERT_FALSE(told.empty());
   EXPECT_GE(told.front(), "10.0.0.980") << "one of the last 20 callers";
