--- a/daemon/admin_pages.cc
+++ b/daemon/admin_pages.cc
@@ -151,7 +151,7 @@
     const std::lock_guard lock(target_mutex_);
     load = target_.Load();
     pace = target_.Pace();
-    load_updates_sent = load_push_.pushes();
+    load_updates_sent = load_push_.CountPushes();
   }
   std::ostringstream page;
   page << metrics_.RenderPrometheusText();
