--- a/tests/processes_test.py
+++ b/tests/processes_test.py
@@ -449,7 +449,7 @@
     numbers = itertools.count()
 
     def call(self, host, key="key-one"):
-        """Returns the time of sending, the status, the reason and the retry-after."""
+        """Returns the time of sending, the status, the outcome (None: a response), the reason and the retry-after."""
         attempt = f"q-{next(self.numbers)}"
         headers = {"Host": fleet.VIRTUAL_HOST, "Attempt-Id": attempt, "Key": key}
         request = urllib.request.Request(f"http://{host.address}:8080/vitrina/x", headers=headers)
@@ -460,8 +460,8 @@
             response = error
         with response:
             response.read()
-            return (sent_at, response.status, response.headers["x-parsleyyard-reason"],
-                    response.headers["retry-after"])
+            return (sent_at, response.status, response.headers["x-parsleyyard-outcome"],
+                    response.headers["x-parsleyyard-reason"], response.headers["retry-after"])
 
     def call_all(self, hosts, seconds):
         """Calls all hosts at the same time, each one call after the other."""
@@ -487,7 +487,7 @@
             time.sleep(0.1)
 
     def largest_window(self, answers):
-        ran = sorted(sent_at for sent_at, status, *_ in answers if status not in (429, 503))
+        ran = sorted(sent_at for sent_at, _, outcome, *_ in answers if outcome != "not_run")
         return max((sum(first <= at < first + self.WINDOW_S for at in ran) for first in ran), default=0)
 
     def owner(self, f):
@@ -503,14 +503,14 @@
                 self.call_until_served(host)
             answers = self.call_all(f.hosts, 6)
             self.assertIn(429, {status for _, status, *_ in answers})
-            for _, status, reason, retry_after in answers:
+            for _, status, outcome, reason, retry_after in answers:
                 self.assertIn(status, (200, 429, 503), reason)
                 if status == 429:
-                    self.assertEqual(reason, "over_quota")
+                    self.assertEqual((outcome, reason), ("not_run", "over_quota"))
                     self.assertGreater(float(retry_after), 0)
             f.cut_link("both")
             answers += self.call_all(f.hosts, 8)
-            self.assertIn("quota_unknown", {reason for _, _, reason, _ in answers})
+            self.assertIn("quota_unknown", {reason for _, _, _, reason, _ in answers})
             f.cut_link("none")
             owner = self.owner(f)
             others = [host for host in f.hosts if host != owner]
