Bound the window of quotas

With quota-window-s=0, the fallback of a daemon was not limited. The names of the three bounds have a test.

--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -213,7 +213,8 @@
   const bounds parsed =
       ParseBounds(
           "seed-lag-s=3,budget-ratio=0.1,budget-slack=64,"
-          "budget-window-s=4,warmup-factor=1.5,warmup-slack=5,grace-s=2.5,x=y")
+          "budget-window-s=4,warmup-factor=1.5,warmup-slack=5,grace-s=2.5,x=y,"
+          "quota-window-s=10,quota-over=0.5,quota-slack=7")
           .value();
   EXPECT_EQ(parsed.retry_ratio, 0.1);
   EXPECT_EQ(parsed.retry_slack, 64);
@@ -221,6 +222,12 @@
   EXPECT_EQ(parsed.cold_rate_factor, 1.5);
   EXPECT_EQ(parsed.cold_rate_slack, 5);
   EXPECT_EQ(parsed.grace, duration(milliseconds(2500)));
+  EXPECT_EQ(parsed.quota_window, duration(seconds(10)));
+  EXPECT_EQ(parsed.quota_over, 0.5);
+  EXPECT_EQ(parsed.quota_slack, 7);
+  EXPECT_EQ(ParseBounds("quota-window-s=0").value().quota_window,
+            duration(seconds(1)));
+  EXPECT_EQ(ParseBounds("").value().quota_over, 0.25);
   EXPECT_EQ(ParseBounds("").value().retry_ratio, 0.2);
   EXPECT_EQ(ParseBounds("").value().grace, duration::zero());
   EXPECT_FALSE(ParseBounds("budget-ratio=much"));
