--- a/tests/fleet_load.cc
+++ b/tests/fleet_load.cc
@@ -149,7 +149,7 @@
   void SendAnswer(const host_address& to,
                   std::shared_ptr<const call_answer> message) override;
 
-  const std::string& zone() const { return zone_; }
+  const std::string& Zone() const { return zone_; }
 
  private:
   std::uint32_t Speed() const {
@@ -201,24 +201,24 @@
     if (world_.clock_.now >= world_.start_ + world_.load_.warm_up) {
       ++counted.attempts;
       counted.crossed +=
-          RegionOfZone(target.zone()) != RegionOfZone(zone_) ? 1 : 0;
+          RegionOfZone(target.Zone()) != RegionOfZone(zone_) ? 1 : 0;
     }
-    world_.At(world_.clock_.now + world_.Latency(zone_, target.zone()),
+    world_.At(world_.clock_.now + world_.Latency(zone_, target.Zone()),
               [this, &target, message] { target.OnCall(address_, message); });
   }
   void SendAttach(const host_address& /*to*/,
                   const call_attach& /*message*/) override {}
   void SendCancel(const host_address& to, const call_cancel& message) override {
     target_node& target = *world_.targets_.at(to);
-    world_.At(world_.clock_.now + world_.Latency(zone_, target.zone()),
+    world_.At(world_.clock_.now + world_.Latency(zone_, target.Zone()),
               [&target, message] { target.OnCancel(message); });
   }
   void OnResult(std::uint64_t call, call_result result) override {
     world_.OnResult(*this, call, result);
   }
 
-  call_sender& sender() { return sender_; }
-  const std::string& zone() const { return zone_; }
+  call_sender& Sender() { return sender_; }
+  const std::string& Zone() const { return zone_; }
 
  private:
   fleet& world_;
@@ -249,8 +249,8 @@
   }
   sender_node& sender = *world_.senders_.at(to);
   world_.At(
-      world_.clock_.now + world_.Latency(zone_, sender.zone()),
-      [this, &sender, answer] { sender.sender().OnAnswer(address_, answer); });
+      world_.clock_.now + world_.Latency(zone_, sender.Zone()),
+      [this, &sender, answer] { sender.Sender().OnAnswer(address_, answer); });
 }
 
 void fleet::target_node::Tick() {
@@ -260,9 +260,9 @@
        push_.TakeReceivers(update.load, world_.clock_.now)) {
     ++world_.result_.pushes;
     sender_node& sender = *world_.senders_.at(to);
-    world_.At(world_.clock_.now + world_.Latency(zone_, sender.zone()),
+    world_.At(world_.clock_.now + world_.Latency(zone_, sender.Zone()),
               [this, &sender, update] {
-                sender.sender().OnLoadUpdate(address_, update);
+                sender.Sender().OnLoadUpdate(address_, update);
               });
   }
 }
@@ -317,7 +317,7 @@
 
 void fleet::Tick() {
   for (const auto& [address, node] : senders_) {
-    node->sender().Tick();
+    node->Sender().Tick();
   }
   for (const auto& [address, node] : targets_) {
     node->Tick();
@@ -349,7 +349,7 @@
   ++each.tries;
   const load_class& from = *each.from;
   const duration past = clock_.now - each.began;
-  at.sender().Begin(
+  at.Sender().Begin(
       id,
       {.service = "s",
        .route = from.name,
