--- a/tests/load_push_test.cc
+++ b/tests/load_push_test.cc
@@ -1,6 +1,7 @@
 // Tests of the decision which daemons get a load report pushed.
 
 #include "calls/load_push.h"
+#include "calls/wait_queue.h"
 #include "tests/call_fixtures.h"
 
 namespace parsleyyard::testing {
@@ -134,5 +135,23 @@
   EXPECT_GE(told.front(), "10.0.0.980") << "one of the last 20 callers";
 }
 
+// Guards against answers that can't be encoded: the list of priorities in a
+// load report has a greatest length.
+TEST(WaitQueue, CountByPriorityFitsALoadReport) {
+  constexpr std::uint32_t kPriorities = 40;
+  wait_queue queue;
+  for (std::uint32_t i = 0; i < kPriorities; ++i) {
+    queue.Enqueue({.id = {.origin = 1, .sequence = i}, .priority = i});
+  }
+  const std::vector<waiting_group> groups = queue.CountByPriority();
+  EXPECT_EQ(groups.size(), 16U);
+  std::uint32_t calls = 0;
+  for (const waiting_group& group : groups) {
+    calls += group.calls;
+  }
+  EXPECT_EQ(calls, kPriorities);
+  EXPECT_EQ(groups.front().priority, 0U);
+}
+
 }  // namespace
 }  // namespace parsleyyard::testing
