--- a/calls/target_pace.cc
+++ b/calls/target_pace.cc
@@ -36,8 +36,8 @@
     return 0;
   }
   constexpr double kPercent = 100;
-  return std::max(1U, static_cast<std::uint32_t>(
-                          speed.Factor(clock_.Now()) * kPercent));
+  return std::max(
+      1U, static_cast<std::uint32_t>(speed.Factor(clock_.Now()) * kPercent));
 }
 
 // Orders the waiting calls by the present speed of the instance.
