Review case 5 states the memory of the host; linter findings

The deployment of the review cases wrote its own settings without process.memory_mb, which the deploy template passes on now, so that the byte budget did not know the limit that the case enforces. Two literals of the test of invalid responses were cut at their NUL with a length beyond their end.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -25,6 +25,10 @@
           "reuse-after-s=2,loss-slack-ms=200,recover-s=15")
 
 
+# `memory-mb` of the settings of the site, as deploy/parsleyyardd.ini.tmpl passes it on.
+MEMORY_MB = 260
+
+
 class CannotRun(Exception):
     """The case could not run: neither kept nor broken."""
 
@@ -336,7 +340,8 @@
             f"[listen]\ncallers = {host.address}:{self.outbound}\nready = {host.address}:{self.ready}\n"
             f"peers = {self.peers}\nadmin = {self.admin}\n\n"
             f"[upstream]\ninstance = {host.address}:{self.app_port}\nservice = {host.service}\n\n"
-            f"[platform]\nstore = {self.net}.1:{self.store_port}\nbounds = {self.bounds}\n")
+            f"[platform]\nstore = {self.net}.1:{self.store_port}\nbounds = {self.bounds}\n\n"
+            f"[process]\nmemory_mb = {MEMORY_MB}\n")
         program = ROOT / self.command()[0]
         if not program.exists():
             raise CannotRun(f"{program} is not built")
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -174,38 +174,39 @@
 // Guards against responses that are no valid HTTP and reach a caller, or that
 // keep it waiting until its deadline. Each would be complete but for one fault.
 TEST(HttpClient, InvalidResponseFailsAtOnce) {
-  const std::string kBody = "content-length: 3\r\n\r\nold";
+  using std::string_literals::operator""s;
+  const std::string body = "content-length: 3\r\n\r\nold";
   const std::vector<std::string> invalid = {
-      "HTTP/1.1 000 OK\r\n" + kBody,
-      "HTTP/1.1 099 OK\r\n" + kBody,
-      "HTTP/1.1 600 OK\r\n" + kBody,
-      "HTTP/1.1 999 OK\r\n" + kBody,
+      "HTTP/1.1 000 OK\r\n" + body,
+      "HTTP/1.1 099 OK\r\n" + body,
+      "HTTP/1.1 600 OK\r\n" + body,
+      "HTTP/1.1 999 OK\r\n" + body,
       "HTTP/1.1 101 Switching Protocols\r\n\r\n",
-      "HTTP/1.1 20 OK\r\n" + kBody,
-      "HTTP/1.1 2000 OK\r\n" + kBody,
-      "HTTP/1.1 -20 OK\r\n" + kBody,
-      "HTTP/1.1 200 OK\r\nse al: x\r\n" + kBody,
-      "HTTP/1.1 200 OK\r\nseal : x\r\n" + kBody,
-      "HTTP/1.1 200 OK\r\n seal: x\r\n" + kBody,
-      "HTTP/1.1 200 OK\r\nse\tal: x\r\n" + kBody,
+      "HTTP/1.1 20 OK\r\n" + body,
+      "HTTP/1.1 2000 OK\r\n" + body,
+      "HTTP/1.1 -20 OK\r\n" + body,
+      "HTTP/1.1 200 OK\r\nse al: x\r\n" + body,
+      "HTTP/1.1 200 OK\r\nseal : x\r\n" + body,
+      "HTTP/1.1 200 OK\r\n seal: x\r\n" + body,
+      "HTTP/1.1 200 OK\r\nse\tal: x\r\n" + body,
       "HTTP/1.1 200 OK\r\nse\x01"
       "al: x\r\n" +
-          kBody,
+          body,
       "HTTP/1.1 200 OK\r\nse\x7f"
       "al: x\r\n" +
-          kBody,
-      std::string("HTTP/1.1 200 OK\r\nse\0al: x\r\n", 29) + kBody,
-      "HTTP/1.1 200 OK\r\ncontent-length : 2\r\n" + kBody,
-      "HTTP/1.1 200 OK\r\n: x\r\n" + kBody,
-      "HTTP/1.1 200 OK\r\nseal\r\n" + kBody,
-      "HTTP/1.1 200 OK\r\nseal: x\x01y\r\n" + kBody,
-      std::string("HTTP/1.1 200 OK\r\nseal: x\0y\r\n", 30) + kBody,
-      "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n" + kBody,
-      "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n" + kBody,
+          body,
+      "HTTP/1.1 200 OK\r\nse\0al: x\r\n"s + body,
+      "HTTP/1.1 200 OK\r\ncontent-length : 2\r\n" + body,
+      "HTTP/1.1 200 OK\r\n: x\r\n" + body,
+      "HTTP/1.1 200 OK\r\nseal\r\n" + body,
+      "HTTP/1.1 200 OK\r\nseal: x\x01y\r\n" + body,
+      "HTTP/1.1 200 OK\r\nseal: x\0y\r\n"s + body,
+      "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n" + body,
+      "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n" + body,
       "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nold",
-      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n" + kBody,
-      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
-      "3\r\nold\r\n0\r\nse al: x\r\n\r\n"};
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n" + body,
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"s +
+          "3\r\nold\r\n0\r\nse al: x\r\n\r\n"};
   for (const std::string& sent_by_server : invalid) {
     worker_threads pool;
     scripted_server server([&](tcp::socket& socket) {
