--- a/calls/calls.h
+++ b/calls/calls.h
@@ -366,7 +366,8 @@
   duration id_retention = seconds(5);  // time after the deadline for which the
                                        // id of an attempt is kept
   bool limit_admission = true;  // false: admit every call, for comparison
-  bool ramp_up = true;          // false: no ramp-up, for comparison
+  // false: an instance that has started or recovered gets calls for all slots
+  bool ramp_up = true;
 };
 
 class target_internals;
--- a/daemon/component_options.cc
+++ b/daemon/component_options.cc
@@ -64,7 +64,8 @@
           .instance_port = s.upstream.instance.port,
           .incarnation = incarnation,
           .cold = platform.limits.cold,
-          .max_waiting_calls = s.calls.queue};
+          .max_waiting_calls = s.calls.queue,
+          .ramp_up = s.calls.ramp_up != 0};
 }
 
 stop_options BuildStopOptions(const daemon_settings& s, duration grace) {
--- a/daemon/settings_generated.cc
+++ b/daemon/settings_generated.cc
@@ -213,6 +213,15 @@
        .target = [](daemon_settings& s) -> setting_target {
          return &s.calls.queue;
        }},
+      {.section = "calls",
+       .key = "ramp_up",
+       .kind = setting_kind::kCount,
+       .min = 0,
+       .max = 1,
+       .one_of = {},
+       .target = [](daemon_settings& s) -> setting_target {
+         return &s.calls.ramp_up;
+       }},
       {.section = "calls",
        .key = "drain_notice",
        .kind = setting_kind::kMs,
--- a/daemon/settings_generated.h
+++ b/daemon/settings_generated.h
@@ -82,6 +82,10 @@
         1048576;  // bytes of their bodies or responses above which no further
                   // request of the connection is read
     std::uint32_t queue = 256;  // limit of calls that wait for the instance
+    std::uint32_t ramp_up =
+        0;  // 1: an instance that states its speed and has started or recovered
+            // gets as many calls at once as its answers show that it bears; 0:
+            // as many as its slots
     std::chrono::milliseconds drain_notice = std::chrono::milliseconds{
         2300};  // delay between announcing a stop and closing the listener; at
                 // most two fifths of the grace time, if platform.bounds states
