--- a/review/11/case.py
+++ b/review/11/case.py
@@ -75,7 +75,7 @@
                     record.note(f"no answer for {attempt} on a kept connection; run by {record.runs[attempt]}")
                 await asyncio.sleep(0.05)
 
-        readers = [rig.Client(record, HOSTS[0][0], fleet.callers, "shop.example", f"read-{n}") for n in range(14)]
+        readers = [rig.Client(record, HOSTS[0][0], fleet.callers, "shop.example", f"read-{n}") for n in range(24)]
         captains = [rig.Client(record, HOSTS[3][0], fleet.callers, "shop.example", f"order-{n}") for n in range(20)]
         await asyncio.gather(platform(), *[run(c, "GET", "/catalogue/x") for c in readers],
                              *[run(c, "PUT", "/orders/x") for c in captains])
--- a/review/standins-3/rig.py
+++ b/review/standins-3/rig.py
@@ -428,10 +428,15 @@
         print("target/parsleyyardd is missing: build as deploy/system.toml says")
         sys.exit(2)
     record = Record(pathlib.Path(folder) / "record.txt")
+
+    async def guarded(temporary):
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await asyncio.wait_for(case(record, temporary), 115)
+
     with tempfile.TemporaryDirectory(prefix="parsleyyard-review-") as temporary:
         try:
-            status = asyncio.run(asyncio.wait_for(case(record, temporary), 115))
-        except (Exception, asyncio.TimeoutError) as error:  # the case could not run
+            status = asyncio.run(guarded(temporary))
+        except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:  # the case could not run
             record.note(f"could not run: {error!r}")
             print(f"could not run: {error!r}")
             status = 2
